--- /dev/null
+++ b/plankroute/interface/notes.py
@@ -0,0 +1,153 @@
+"""Notes that reach a steward. Ids are those of the outside; times are whole microseconds."""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class HostState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    CACHED = "cached"
+    FULL = "full"
+    CHANGES = "changes"
+    FAILED = "failed"
+
+
+class Outcome(Enum):
+    """How a probe ended."""
+
+    ANSWERED = "answered"
+    ERROR = "error"
+    TURNED_AWAY = "turned away"
+    SILENT = "silent"
+    UNREACHED = "unreached"
+
+
+@dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A host's own figures; None where the report does not hold one."""
+
+    inflight: float | None = None
+    queue: float | None = None
+    util: float | None = None
+    service_us: float | None = None
+    rate: float | None = None
+    error_rate: float | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One host as the list has it; started_us is 0 where the start lies long ago."""
+
+    host: int
+    state: HostState
+    zone: int
+    kind: int
+    cell: int
+    weight: float
+    started_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostList:
+    kind: ListKind
+    entries: tuple[HostEntry, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyJoined:
+    """fresh: it holds only its standing tables."""
+
+    proxy: int
+    zone: int
+    usual_rate: float
+    fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyLeft:
+    proxy: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostSums:
+    """What the joined proxies of a zone met at a host over span_us."""
+
+    host: int
+    zone: int
+    tries: int
+    voided: int
+    mean_us: float
+    span_us: int
+    report: LoadReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class ProxyTraffic:
+    """Txns of a product that came to a proxy; voided: let in and not answered."""
+
+    proxy: int
+    product: int
+    arrived: int
+    voided: int
+    span_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class SliceTraffic:
+    slice: int
+    product: int
+    arrived: int
+    voided: int
+    span_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class SliceCharge:
+    """A slice comes into this steward's charge, or leaves it."""
+
+    slice: int
+    given: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SliceLine:
+    """A line that a slice just given already has in the store."""
+
+    slice: int
+    host: int
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    proxy: int
+    serial: int
+    took_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class ProbeResult:
+    host: int
+    outcome: Outcome
+    took_us: int
+    report: LoadReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    sender: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class TimerDue:
+    token: int
+
+
+Note = (HostList | ProxyJoined | ProxyLeft | HostSums | ProxyTraffic | SliceTraffic | SliceCharge
+        | SliceLine | Applied | ProbeResult | PeerMessage | TimerDue)
--- /dev/null
+++ b/plankroute/simhost/__init__.py
@@ -0,0 +1,1 @@
+"""The process that hosts many stewards on the simulator's wire."""
--- /dev/null
+++ b/plankroute/simhost/__main__.py
@@ -0,0 +1,70 @@
+"""Reads batches on standard input, lets the instances decide, writes one reply a batch."""
+
+import gc
+import sys
+import traceback
+from typing import BinaryIO
+
+from plankroute.decide import Steward
+from plankroute.interface.notes import Note
+from plankroute.simwire.frames import WireError, read_batch, write_reply
+from plankroute.simwire.records import Decoder, Delivered, Destroyed, Enlisted, encode_failure, encode_order
+from plankroute.simwire.start import microseconds
+
+
+class Host:
+    """The instances of this process; they share nothing."""
+
+    def __init__(self) -> None:
+        self.decoder = Decoder()
+        self.stewards: dict[int, Steward] = {}
+
+    def reply(self, clock_us: int, body: bytes) -> list[bytes]:
+        pending: dict[int, list[Note]] = {}
+        for event in self.decoder.events(body):
+            match event:
+                case Enlisted(instance, seed, facts):
+                    self.stewards[instance] = Steward(facts, seed)
+                    pending[instance] = []
+                case Destroyed(instance):
+                    self.stewards.pop(instance, None)
+                    pending.pop(instance, None)
+                case Delivered(instance, note):
+                    pending.setdefault(instance, []).append(note)
+        records: list[bytes] = []
+        for instance, notes in pending.items():
+            records += self.decide(instance, clock_us, notes)
+        return records
+
+    def decide(self, instance: int, clock_us: int, notes: list[Note]) -> list[bytes]:
+        steward = self.stewards.get(instance)
+        if steward is None:
+            return []
+        try:
+            return [encode_order(instance, order) for order in steward.deliver(clock_us, notes)]
+        except Exception as error:  # the wire asks for a word on any failure of a decision
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            return [encode_failure(instance, f"{type(error).__name__}: {error} at {place.name}:{place.lineno}")]
+
+
+def serve(source: BinaryIO, sink: BinaryIO) -> None:
+    host = Host()
+    while (batch := read_batch(source)) is not None:
+        number, clock_ms, body = batch
+        write_reply(sink, number, host.reply(microseconds(clock_ms), body))
+
+
+def main() -> int:
+    gc.freeze()
+    try:
+        serve(sys.stdin.buffer, sys.stdout.buffer)
+    except WireError as error:
+        print(f"plankroute: the input is malformed: {error}", file=sys.stderr)
+        return 1
+    except BrokenPipeError:
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
