--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -382,7 +382,7 @@
     harmless = product.repeat is Repeat.INQUIRY or (
         product.repeat is Repeat.REFERENCED and product.scope is Scope.ALL
         and product.repeat_window_us >= product.expiry_us)
-    return orders.Retry.ONCE if harmless else orders.Retry.UNRUN
+    return orders.Retry.UNRUN
 
 
 class Publisher(Actor):
