Fill from util where hosts report it

Cause: answer times follow core speed, so two fast cores looked better than three slower ones of equal capacity.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -202,8 +202,9 @@
     def on_report(self, report: notes.LoadReport | None) -> None:
         fig, i = self.figures, self.place
         if report is not None and report.util is not None:
-            old = fig.util[i]
-            fig.util[i] = report.util if old is None else 0.7 * old + 0.3 * report.util
+            part = 1.0 if fig.util[i] is None else 0.3
+            fig.util[i] = (fig.util[i] or 0.0) * (1 - part) + part * report.util
+            fig.util_weight[i] = fig.util_weight[i] * (1 - part) + part * min(fig.weight[i], fig.cap[i])
             fig.news[i] = True
 
     def on_probe(self, probe: notes.ProbeResult) -> None:
@@ -308,10 +309,14 @@
         """0 to 1: what a host is to hold at its present weight, against the mean; unheard: left out."""
         fig = self.figures
         times = self.times(playing)
-        if not times:
+        stress = {}
+        for i in playing:
+            if (util := fig.util[i]) is not None:
+                stress[i] = util * fig.weight[i] / fig.util_weight[i]
+            elif i in times:
+                stress[i] = fig.weight[i] * times[i] ** (1 + self.SLOWNESS)
+        if not stress:
             return {}
-        usual = sum(times.values()) / len(times)
-        stress = {i: fig.weight[i] * (time / usual) ** (1 + self.SLOWNESS) for i, time in times.items()}
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
