Silent probes count as full, util counts once tables are in force, slow hosts are not shut

Cause: loaded hosts let deep probes time out, so only their calm answers counted and drew weight; the first utils were met under standing tables; time-outs of a loaded fleet shut hosts and loaded the rest further. Also guards against a hung host at sites that report by probe. Harm: a cut between steward and host looks like load; only for hosts that this steward cannot probe.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -71,6 +71,7 @@
     """Parallel arrays of host figures under a dense index; ids stay at the door."""
 
     def __init__(self, facts: StartFacts) -> None:
+        self.in_force = False  # a proxy holds our tables: before that, a load tells nothing of our weights
         self.index: dict[int, int] = {}
         self.ids: list[int] = []
         self.state: list[HostState] = []
@@ -123,6 +124,8 @@
     LEAST_VOIDED = 3.0
     # Expected tries without a word before a host is asked: by chance alone, one in some hundred times.
     SILENT_TRIES = 6.0
+    # A probe that no core came round to: the host is past full, else only the calm answers would count.
+    SILENT_UTIL = 1.5
     # Good probes in a row before a return; doubled at each relapse.
     GOOD_PROBES = 4
     # At most this part of a table's hosts is shut at once, so that the rest does not drown.
@@ -202,8 +205,13 @@
     def on_report(self, report: notes.LoadReport | None) -> None:
         fig, i = self.figures, self.place
         if report is not None and report.util is not None:
+            self.on_util(report.util)
+
+    def on_util(self, util: float) -> None:
+        fig, i = self.figures, self.place
+        if fig.in_force:
             part = 1.0 if fig.util[i] is None else 0.3
-            fig.util[i] = (fig.util[i] or 0.0) * (1 - part) + part * report.util
+            fig.util[i] = (fig.util[i] or 0.0) * (1 - part) + part * util
             fig.util_weight[i] = fig.util_weight[i] * (1 - part) + part * min(fig.weight[i], fig.cap[i])
             fig.news[i] = True
 
@@ -213,6 +221,8 @@
             self.on_report(probe.report)
         elif probe.outcome is not Outcome.TURNED_AWAY:
             self.good_probes, self.bad_probes = 0, self.bad_probes + 1
+            if self.always_ask and probe.outcome is Outcome.SILENT:
+                self.on_util(self.SILENT_UTIL)
 
     def on_turn(self) -> None:
         fig, i = self.figures, self.place
@@ -235,8 +245,10 @@
         tries, voided = sum(fig.tries), sum(fig.voided)
         usual = voided / tries if tries else 0.0
         if fig.voided[i] >= self.LEAST_VOIDED and fig.voided[i] > (usual + self.VOIDED_EXCESS) * fig.tries[i]:
-            return True
-        return self.silent() and self.bad_probes >= 2
+            usual_us = sum(fig.time_sum) / max(sum(fig.timed), 1.0)
+            fast = 0 < fig.time_sum[i] < 1.5 * usual_us * fig.timed[i]
+            return fast or self.bad_probes > 0
+        return self.silent() and self.bad_probes > 1
 
     def silent(self) -> bool:
         """No word for a time in which a host of its weight is tried often, while the fleet is heard."""
@@ -429,6 +441,7 @@
                     known.pop(note.proxy, None)
                 self.bound.discard(note.proxy)
             case notes.Applied():
+                self.figures.in_force = True
                 waiting = self.unanswered.get(note.proxy, deque())
                 while waiting and waiting[0][0] <= note.serial:
                     waiting.popleft()
