Fill from what a host holds over its time, so the loop has no answer-time blow-up

A host with more in hand than it works on at once does what it holds over its time; that figure does not depend on its weight.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -88,6 +88,9 @@
         self.voided: list[float] = []
         self.timed: list[float] = []
         self.time_sum: list[float] = []
+        self.listed: list[float] = []
+        self.held: list[float] = []
+        self.held_sum: list[float] = []
         self.util: list[float | None] = []
         self.util_weight: list[float] = []
 
@@ -99,7 +102,7 @@
                 (self.started, entry.started_us), (self.weight, entry.weight or 1.0), (self.cap, NO_CAP),
                 (self.shut, False), (self.error, None), (self.integral, 0.0), (self.news, False),
                 (self.tries, 0.0), (self.voided, 0.0), (self.timed, 0.0), (self.time_sum, 0.0),
-                (self.util, None), (self.util_weight, 1.0)):
+                (self.listed, entry.weight or 1.0), (self.held, 0.0), (self.held_sum, 0.0), (self.util, None), (self.util_weight, 1.0)):
             array.append(value)
         return place
 
@@ -107,6 +110,11 @@
         """Hosts that may be sent txns."""
         return [i for i, state in enumerate(self.state) if state is HostState.READY and not self.shut[i]]
 
+    def good_part(self) -> float:
+        """The part of the fleet's tries that were answered well."""
+        tries = sum(self.tries)
+        return max(0.02, 1 - sum(self.voided) / tries) if tries > 0 else 1.0
+
     def kin_mean(self, place: int) -> float:
         """The usual weight of hosts of this kind: the best guess for one that is not heard yet."""
         kin = [self.weight[i] for i in self.playing() if self.kind[i] == self.kind[place]
@@ -165,6 +173,7 @@
         """A new process: what was heard of the old one, and held against it, no longer counts."""
         fig, i = self.figures, self.place
         fig.tries[i] = fig.voided[i] = fig.timed[i] = fig.time_sum[i] = fig.integral[i] = 0.0
+        fig.held[i] = fig.held_sum[i] = 0.0
         fig.error[i] = fig.util[i] = None
         fig.shut[i] = False
         self.return_share, self.needed_probes, self.heard_us = 1.0, self.GOOD_PROBES, self.desk.now
@@ -173,21 +182,22 @@
     def warm(self) -> None:
         """Cold hosts get the part of their kind's weight that they are sure to have, so no budget is near.
 
-        Guards against a host pushed over as it starts, whoever else sends there; harms nothing but the few
-        seconds in which a fast warmer could take more.
+        Guards against a host pushed over as it starts, whoever else sends there. Where most tries are voided
+        at once, tries come many times as fast as hosts can work, so the part shrinks by as much. Does harm
+        only where a fast warmer could take more.
         """
         fig, i = self.figures, self.place
         age = self.desk.now - fig.started[i]
         share = self.return_share
         if fig.started[i] and age < self.cold_us:
             share = min(share, self.cold_share + (1 - self.cold_share) * max(0, age) / self.cold_us)
-        fig.cap[i] = NO_CAP if share >= 1 else share * fig.kin_mean(i)
+        fig.cap[i] = NO_CAP if share >= 1 else share * fig.kin_mean(i) * fig.good_part()
 
     def fade(self) -> None:
         fig, i = self.figures, self.place
         keep = 0.5 ** ((self.desk.now - self.faded_us) / self.MEMORY_US)
         self.faded_us = self.desk.now
-        for array in (fig.tries, fig.voided, fig.timed, fig.time_sum):
+        for array in (fig.tries, fig.voided, fig.timed, fig.time_sum, fig.held, fig.held_sum):
             array[i] *= keep
 
     def on_sums(self, sums: notes.HostSums) -> None:
@@ -204,6 +214,9 @@
 
     def on_report(self, report: notes.LoadReport | None) -> None:
         fig, i = self.figures, self.place
+        if report is not None and report.inflight is not None:
+            self.figures.held[self.place] += 1
+            self.figures.held_sum[self.place] += report.inflight
         if report is not None and report.util is not None:
             self.on_util(report.util)
 
@@ -285,10 +298,12 @@
 
     TURN_US = SECOND_US
     # Fill is projected to the present weight, so a turn's delay does not bound these as it would a raw one.
-    KP, KI, KD, LEAK = 0.3, 0.02, 0.02, 0.10
+    KP, KI, KD, LEAK = 0.2, 0.01, 0.02, 0.10
     FLOOR = 0.05
     # A slower host also keeps its txns nearer to the SLA time: half of that enters, by measure on all sites.
-    SLOWNESS = 0.5
+    SLOWNESS = 0.3
+    # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
+    AT_ONCE = 3.0
     # Shrinks a host's mean time to its kind's while few txns are timed.
     PRIOR_TXNS = 3.0
 
@@ -321,12 +336,14 @@
         """0 to 1: what a host is to hold at its present weight, against the mean; unheard: left out."""
         fig = self.figures
         times = self.times(playing)
+        size = sum(fig.listed[i] for i in playing) / max(1, len(playing))
         stress = {}
         for i in playing:
             if (util := fig.util[i]) is not None:
                 stress[i] = util * fig.weight[i] / fig.util_weight[i]
             elif i in times:
-                stress[i] = fig.weight[i] * times[i] ** (1 + self.SLOWNESS)
+                at_once = max(self.AT_ONCE * fig.listed[i] / size, fig.held_sum[i] / max(fig.held[i], 0.01))
+                stress[i] = fig.weight[i] * times[i] ** (1 + self.SLOWNESS) / at_once
         if not stress:
             return {}
         mean = sum(stress.values()) / len(stress)
