--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -298,10 +298,10 @@
 
     TURN_US = SECOND_US
     # Fill is projected to the present weight, so a turn's delay does not bound these as it would a raw one.
-    KP, KI, KD, LEAK = 0.25, 0.01, 0.02, 0.10
+    KP, KI, KD, LEAK = 0.2, 0.01, 0.02, 0.10
     FLOOR = 0.05
     # A slower host also keeps its txns nearer to the SLA time: half of that enters, by measure on all sites.
-    SLOWNESS = 0.6
+    SLOWNESS = 0.3
     # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
     AT_ONCE = 3.0
     # Shrinks a host's mean time to its kind's while few txns are timed.
@@ -343,7 +343,7 @@
                 stress[i] = util * fig.weight[i] / fig.util_weight[i]
             elif i in times:
                 at_once = max(self.AT_ONCE * fig.listed[i] / size, fig.held_sum[i] / max(fig.held[i], 0.01))
-                stress[i] = fig.weight[i] * (times[i] / at_once) ** (1 + self.SLOWNESS)
+                stress[i] = fig.weight[i] * times[i] ** (1 + self.SLOWNESS) / at_once
         if not stress:
             return {}
         mean = sum(stress.values()) / len(stress)
