--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -307,9 +307,9 @@
     # Shrinks a host's mean time to its kind's while few txns are timed.
     PRIOR_TXNS = 3.0
 
-    def __init__(self, desk: Desk) -> None:
+    def __init__(self, desk: Desk, tables: list["Table"]) -> None:
         super().__init__(desk)
-        self.figures = desk.figures
+        self.figures, self.tables = desk.figures, tables
 
     def handle(self, note: Any) -> None:
         """A turn is the only note that it gets."""
@@ -337,18 +337,34 @@
         fig = self.figures
         times = self.times(playing)
         size = sum(fig.listed[i] for i in playing) / max(1, len(playing))
+        pace = self.pace(times)
         stress = {}
         for i in playing:
             if (util := fig.util[i]) is not None:
                 stress[i] = util * fig.weight[i] / fig.util_weight[i]
             elif i in times:
                 at_once = max(self.AT_ONCE * fig.listed[i] / size, fig.held_sum[i] / max(fig.held[i], 0.01))
-                stress[i] = fig.weight[i] * times[i] ** (1 + self.SLOWNESS) / at_once
+                rate, usual_us = pace[self.group(i)]
+                slowness = (times[i] / usual_us) ** self.SLOWNESS
+                stress[i] = fig.weight[i] * rate * times[i] * slowness / at_once
         if not stress:
             return {}
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
+    def group(self, place: int) -> tuple[bool, ...]:
+        return tuple(table.admits(self.figures, place) for table in self.tables)
+
+    def pace(self, times: dict[int, float]) -> dict[tuple[bool, ...], tuple[float, float]]:
+        """Tries a weight, and mean time, of hosts open to the same products: others have another mix."""
+        fig = self.figures
+        members: dict[tuple[bool, ...], list[int]] = {}
+        for i in times:
+            members.setdefault(self.group(i), []).append(i)
+        return {group: (max(1.0, sum(fig.tries[i] for i in hosts))
+                        / sum(min(fig.weight[i], fig.cap[i]) for i in hosts),
+                        sum(times[i] for i in hosts) / len(hosts)) for group, hosts in members.items()}
+
     def times(self, playing: list[int]) -> dict[int, float]:
         """Each heard host's mean time, shrunk to its kind's."""
         fig = self.figures
@@ -584,7 +600,7 @@
         self.figures = self.desk.figures
         self.publisher = Publisher(self.desk, facts)
         self.slices = Slices(self.desk)
-        self.balancer = Balancer(self.desk)
+        self.balancer = Balancer(self.desk, self.publisher.tables)
         self.hosts: list[Host] = []
         self.products = len(facts.products)
         self.must_subscribe = facts.must_subscribe
