--- /dev/null
+++ b/plankroute/actors.py
@@ -0,0 +1,41 @@
+"""Actors with inboxes and the one loop that empties them; machinery only, nothing here decides anything."""
+
+import zlib
+from collections import deque
+from typing import Any
+
+from plankroute.interface.orders import Order
+
+
+class Actor:
+    """A part with an inbox; the desk's loop hands it one note at a time."""
+
+    def __init__(self, desk: "Desk") -> None:
+        self.desk = desk
+        self.inbox: deque[Any] = deque()
+
+    def handle(self, note: Any) -> None:
+        raise NotImplementedError
+
+
+class Desk:
+    """What the actors of one steward share: the clock, the loop, chance, and the orders that go out."""
+
+    def __init__(self, seed: int) -> None:
+        self.now, self.seed, self.draws = 0, seed, 0
+        self.ready: deque[Actor] = deque()
+        self.out: list[Order] = []
+
+    def put(self, actor: Actor, note: Any) -> None:
+        actor.inbox.append(note)
+        self.ready.append(actor)
+
+    def run(self) -> None:
+        while self.ready:
+            actor = self.ready.popleft()
+            actor.handle(actor.inbox.popleft())
+
+    def chance(self) -> float:
+        """From 0 to under 1, the same for the same seed and number of draws."""
+        self.draws += 1
+        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
