Cold caps follow the fleet's strain, suspects serve rather than nobody, queues weigh more

Causes: (1) with half the fleet cold twice as much came to each weight and proxies shunned the rest, so caps in parts of a weight were too much; told from late notice by the hosts being known for 5 s. Caps now shrink with the fleet's mean time against the SLA time, to nothing past 0.65. (2) A zone's table lost its last warm hosts to health while others drained; told from a late bind by the proxies' long streams. A table without a warm host now takes suspects. Sums of gone hosts no longer count.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -25,11 +25,11 @@
 
 
 class Turn:
-    """A note between parts: another turn is due."""
+    """A note: another turn is due."""
 
 
 class Changed:
-    """A note between parts: hosts came, went or moved, so tables follow."""
+    """A note: hosts came, went or moved, so tables follow."""
 
 
 class Fleet:
@@ -67,9 +67,10 @@
         return [i for i, state in enumerate(self.state)
                 if state is HostState.READY and not self.shut[i] and self.cap[i] > 0]
 
-    def voided_part(self) -> float:
-        tries = sum(self.tries)
-        return sum(self.voided) / tries if tries > 0 else 0.0
+    def a_try(self, sums: list[float]) -> float:
+        """Such a sum's part in a try, over all hosts listed ready."""
+        ready = [i for i, state in enumerate(self.state) if state is HostState.READY and self.tries[i] > 0]
+        return sum(sums[i] for i in ready) / sum(self.tries[i] for i in ready) if ready else 0.0
 
     def kin_mean(self, place: int) -> float:
         """The usual weight of hosts of this kind: the best guess for one that is not heard yet."""
@@ -104,7 +105,7 @@
     MOST_SHUT = 0.34
     # A host that comes back enters at the design's quarter and gains half as much again each turn.
     ENTRY, RISE = 0.25, 1.5
-    DROWNING = 0.5  # part voided: beyond it proxies shun most hosts and flock to what is left
+    CALM, DROWNING = 0.3, 0.65  # parts of the SLA time: a usual answer takes less; beyond, queues are long
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -135,18 +136,20 @@
     def warm(self) -> None:
         """Cold hosts get the part of their kind's weight that they are sure to bear: no budget comes near.
 
-        Guards against a host pushed over as it starts, whoever else sends there. Tries voided at once come
-        many times as fast as hosts can work, so the part shrinks by as much, and to nothing while the fleet
-        drowns. Does harm only where a fast warmer could take more.
+        Guards against a host pushed over as it starts, whoever else sends there. In a fleet under strain more
+        comes to a weight, and proxies shun hosts that void txns and flock to the rest: the part shrinks as
+        answers grow late, at last to nothing. Harm: a fast warmer could take more.
         """
         fleet, i = self.fleet, self.place
-        age, share, lost = self.desk.now - self.started_us, self.share, fleet.voided_part()
+        age, share = self.desk.now - self.started_us, self.share
+        strain = fleet.a_try(fleet.time_us) / self.terms.void_us
         cold = 0 < self.started_us and age < self.terms.cold_us
         if cold:
             share = min(share, self.terms.cold_share
                         + (1 - self.terms.cold_share) * max(0, age) / self.terms.cold_us)
-        fleet.cap[i] = NO_CAP if share >= 1 else share * fleet.kin_mean(i) * (1 - lost)
-        if cold and lost > self.DROWNING:
+        share *= min(1.0, self.CALM / max(strain, 0.01)) if share < 1 else 1.0
+        fleet.cap[i] = NO_CAP if share >= 1 else share * fleet.kin_mean(i)
+        if cold and strain > self.DROWNING:
             fleet.cap[i] = 0.0
 
     def fade(self) -> None:
@@ -155,10 +158,9 @@
 
     def on_sums(self, sums: notes.HostSums) -> None:
         """Guards against hosts that void txns fast and so look empty: each counts as late."""
-        fleet, i = self.fleet, self.place
+        fleet, i, voided = self.fleet, self.place, min(sums.voided, sums.tries)
         self.fade()
         self.heard_us, fleet.news[i] = self.desk.now, True
-        voided = min(sums.voided, sums.tries)
         good = sums.tries - voided if sums.mean_us > 0 else 0
         fleet.tries[i] += good + voided
         fleet.voided[i] += voided
@@ -166,7 +168,7 @@
         self.on_report(sums.report)
 
     def on_report(self, report: notes.LoadReport | None) -> None:
-        if report is not None and report.inflight is not None:
+        if report and report.inflight is not None:
             self.fleet.reports[self.place] += 1
             self.fleet.held[self.place] += report.inflight
 
@@ -196,7 +198,7 @@
     def suspect(self) -> bool:
         """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
         fleet, i = self.fleet, self.place
-        excess = fleet.voided[i] - (fleet.voided_part() + self.VOIDED_EXCESS) * fleet.tries[i]
+        excess = fleet.voided[i] - (fleet.a_try(fleet.voided) + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
     def silent(self) -> bool:
@@ -235,8 +237,9 @@
     # Fill is taken at the present weight, so a late report does not bound the gains as a raw one would.
     KP, KI, KD, LEAK = 0.2, 0.01, 0.02, 0.10
     FLOOR = 0.05
-    # A slow host is also spared: its txns lie nearer to their SLA time. More than this made queues swing.
-    SLOWNESS = 0.3
+    # Surcharges for a slow host, whose txns lie nearer to their SLA time, and for a queue, which would stay
+    # at a load that a host just bears; more of either made queues swing.
+    SLOWNESS, DRAIN = 0.3, 0.3
     # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
     AT_ONCE = 3.0
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
@@ -247,8 +250,7 @@
 
     def handle(self, note: Any) -> None:
         """A turn is the only note that it gets."""
-        fleet = self.fleet
-        playing = fleet.playing()
+        fleet, playing = self.fleet, self.fleet.playing()
         fills = self.fills(playing)
         if not fills:
             return
@@ -269,8 +271,7 @@
 
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
-        fleet = self.fleet
-        times = self.times(playing)
+        fleet, times = self.fleet, self.times(playing)
         if not times:
             return {}
         size = sum(fleet.listed[i] for i in playing) / len(playing)
@@ -282,8 +283,10 @@
                     / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts))
             for i in hosts:
                 held = fleet.held[i] / fleet.reports[i] if fleet.reports[i] > 0.01 else 0.0
-                powers = max(self.AT_ONCE * fleet.listed[i] / size, held) / times[i]
-                stress[i] = rate * fleet.weight[i] / powers * (times[i] / usual) ** self.SLOWNESS
+                at_once = self.AT_ONCE * fleet.listed[i] / size
+                crowd = max(1.0, held / at_once)
+                stress[i] = (rate * fleet.weight[i] * times[i] / at_once * crowd ** (self.DRAIN - 1)
+                             * (times[i] / usual) ** self.SLOWNESS)
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
@@ -295,11 +298,9 @@
 
     def times(self, playing: list[int]) -> dict[int, float]:
         """Each host's mean time, shrunk to its kind's; none for kinds that are not heard."""
-        fleet = self.fleet
-        kinds: dict[int, list[int]] = {}
+        fleet, times, kinds = self.fleet, dict[int, float](), dict[int, list[int]]()
         for i in playing:
             kinds.setdefault(fleet.kind[i], []).append(i)
-        times = {}
         for kin in kinds.values():
             tries = sum(fleet.tries[i] for i in kin)
             if tries > 0.5:
@@ -327,7 +328,12 @@
 
     def slots(self, fleet: Fleet) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
-        weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in fleet.playing() if self.admits(fleet, i)}
+        hosts = [i for i in fleet.playing() if self.admits(fleet, i)]
+        if all(fleet.cap[i] < NO_CAP for i in hosts):
+            # Guards against a bare proxy: better a suspect than nobody, or than all txns on hosts still cold.
+            hosts += [i for i, shut in enumerate(fleet.shut)
+                      if shut and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
+        weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in hosts}
         total, sum_w = self.SLOTS_A_HOST * len(weights), sum(weights.values())
         exact = {i: weight * total / sum_w for i, weight in weights.items()}
         slots = {i: int(value) for i, value in exact.items()}
@@ -362,14 +368,13 @@
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
         super().__init__(desk)
-        self.fleet = fleet
+        self.fleet, self.serial = fleet, 0
         self.head, self.allowance = facts.head_lines, self.ORDINARY_PART * facts.queue_cap
         self.tables = [] if facts.slices else tables_for(facts)
         self.zone_of: dict[int, int] = {}  # of joined proxies
         self.bound, self.withdrawn = set[int](), set[int]()
         self.unanswered: dict[int, deque[tuple[int, int]]] = {}
         self.charges: dict[int, int] = {}  # lines of this batch's message to each proxy
-        self.serial = 0
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
 
@@ -498,9 +503,7 @@
     def follow(self, place: int, table: Table) -> None:
         fleet = self.fleet
         hosts = [i for i in fleet.playing() if table.admits(fleet, i)]
-        tries = sum(fleet.tries[i] for i in hosts)
-        if tries <= 0:
-            return
+        tries = max(1.0, sum(fleet.tries[i] for i in hosts))
         late = sum(fleet.time_us[i] for i in hosts) / tries / self.sla_us[place]
         if late > self.HIGH:
             self.share[place] = max(self.LEAST, self.share[place] * self.FALL)
@@ -534,8 +537,7 @@
 
     def __init__(self, desk: Desk, fleet: Fleet) -> None:
         super().__init__(desk)
-        self.fleet = fleet
-        self.lines: dict[int, set[int]] = {}
+        self.fleet, self.lines = fleet, dict[int, set[int]]()
 
     def handle(self, note: Any) -> None:
         match note:
@@ -550,9 +552,8 @@
                 self.settle()
 
     def settle(self) -> None:
-        fleet = self.fleet
-        playing = fleet.playing()
-        held = {i: sum(i in lines for lines in self.lines.values()) for i in playing} if self.lines else {}
+        fleet, playing = self.fleet, self.fleet.playing()
+        held = {i: sum(i in lines for lines in self.lines.values()) for i in playing}
         for number, lines in self.lines.items():
             if playing and lines.isdisjoint(playing):
                 best = min(playing, key=lambda i: (fleet.cap[i] < NO_CAP, held[i] / fleet.weight[i], i))
@@ -565,7 +566,7 @@
     """The door: notes come in by id, orders go out; in between one loop empties the inboxes."""
 
     TURN, ASK = 1, 2
-    ASK_AGAIN_US = 2 * SECOND_US  # a list that did not answer is asked again well before it counts as known
+    ASK_AGAIN_US = 2 * SECOND_US  # well before an unanswered list counts as known
 
     def __init__(self, facts: StartFacts, seed: int) -> None:
         self.desk, self.fleet, self.hosts = Desk(seed), Fleet(), list[Host]()
@@ -574,7 +575,7 @@
         self.levels = Levels(self.desk, facts, self.publisher)
         self.slices = Slices(self.desk, self.fleet)
         self.must_subscribe, self.started = facts.must_subscribe, False
-        void_us = sum(p.sla_us for p in facts.products) / max(1, len(facts.products))
+        void_us = max(1.0, sum(p.sla_us for p in facts.products) / max(1, len(facts.products)))
         self.terms = HostTerms(max(1, facts.cold_us), facts.cold_share, facts.may_probe,
                                facts.reports is ReportWay.PROBES, void_us)
 
@@ -630,8 +631,8 @@
         entries = {entry.host: entry for entry in listed.entries}
         if listed.kind is not ListKind.CHANGES:
             for host, i in fleet.index.items():
-                missing = notes.HostEntry(host, HostState.GONE, fleet.zone[i], fleet.kind[i], 0, 0.0, 0)
-                entries.setdefault(host, missing)
+                entries.setdefault(host, notes.HostEntry(host, HostState.GONE, fleet.zone[i], fleet.kind[i],
+                                                         0, 0.0, 0))
         for host, entry in entries.items():
             if host not in fleet.index:
                 self.hosts.append(Host(self.desk, fleet, fleet.add(entry), self.terms))
