--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -239,7 +239,7 @@
     FLOOR = 0.05
     # Surcharges for a slow host, whose txns lie nearer to their SLA time, and for a queue, which would stay
     # at a load that a host just bears; more of either made queues swing.
-    SLOWNESS, DRAIN = 0.3, 0.3
+    SLOWNESS, DRAIN = 0.5, 0.8
     # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
     AT_ONCE = 3.0
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
@@ -286,7 +286,7 @@
                 at_once = self.AT_ONCE * fleet.listed[i] / size
                 crowd = max(1.0, held / at_once)
                 stress[i] = (rate * fleet.weight[i] * times[i] / at_once * crowd ** (self.DRAIN - 1)
-                             * (times[i] / usual) ** self.SLOWNESS)
+                             * (times[i] / crowd / usual) ** self.SLOWNESS)
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
