--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -101,8 +101,7 @@
     SILENT_TRIES = 6.0
     # Probes in a row: two bad ones shut a suspect, four good ones let it back (twice as many each time).
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 4, 32
-    # At most a third of all hosts and of a zone's is shut at once, so that the rest does not drown.
-    MOST_SHUT = 0.34
+    MOST_SHUT = 0.34  # of all hosts and of a zone's: the rest has to bear their load
     # A host that comes back enters at the design's quarter and gains half as much again each turn.
     ENTRY, RISE = 0.25, 1.5
     CALM, DROWNING = 0.3, 0.65  # parts of the SLA time: a usual answer takes less; beyond, queues are long
@@ -234,19 +233,20 @@
     """The design's controller: a leaky PID on fill moves each host's weight."""
 
     TURN_US = SECOND_US
-    # Fill is taken at the present weight, so a late report does not bound the gains as a raw one would.
-    KP, KI, KD, LEAK = 0.2, 0.01, 0.02, 0.10
+    # Fill is taken at the present weight, so late reports do not bound the gains as they would raw ones.
+    KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10
+    EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
     # Surcharges for a slow host, whose txns lie nearer to their SLA time, and for a queue, which would stay
     # at a load that a host just bears; more of either made queues swing.
-    SLOWNESS, DRAIN = 0.5, 0.8
+    SLOWNESS, DRAIN = 0.3, 0.3
     # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
     AT_ONCE = 3.0
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
         super().__init__(desk)
-        self.fleet, self.tables = fleet, tables
+        self.fleet, self.tables, self.turns = fleet, tables, 0
 
     def handle(self, note: Any) -> None:
         """A turn is the only note that it gets."""
@@ -256,6 +256,8 @@
             return
         mean_fill = sum(fills.values()) / len(fills)
         mean = sum(fleet.weight[i] for i in playing) / len(playing)
+        self.turns += 1
+        eager = 1 + self.EAGER / self.turns if len({fleet.listed[i] for i in playing}) == 1 else 1.0
         for i in playing:
             error = mean_fill - fills.get(i, mean_fill)
             before = fleet.error[i]
@@ -264,7 +266,7 @@
             if fleet.news[i]:
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
-            fleet.weight[i] = max(fleet.weight[i] + 4 * mean * c, self.FLOOR * mean)
+            fleet.weight[i] = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
         scale = len(playing) / sum(fleet.weight[i] for i in playing)
         for i in playing:
             fleet.weight[i] *= scale
@@ -286,7 +288,7 @@
                 at_once = self.AT_ONCE * fleet.listed[i] / size
                 crowd = max(1.0, held / at_once)
                 stress[i] = (rate * fleet.weight[i] * times[i] / at_once * crowd ** (self.DRAIN - 1)
-                             * (times[i] / crowd / usual) ** self.SLOWNESS)
+                             * (times[i] / usual) ** self.SLOWNESS)
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
@@ -359,10 +361,9 @@
 class Publisher(Actor):
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
 
-    # Ordinary lines wait while this part of the limit is unanswered; what the rules demand has the rest.
-    ORDINARY_PART = 0.35
-    # Lets everything in, in each unit; a further try comes only after proof that the first never ran: any
-    # other doubled the load of hosts that were late already, and no repeat can do harm.
+    ORDINARY_PART = 0.35  # of the limit may be unanswered; what the rules demand has the rest
+    # Lets everything in; another try only once it is proven that the first never ran: that does no harm, and
+    # any other doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
 
@@ -399,9 +400,9 @@
                 self.bind_waiting()
 
     def on_left(self, proxy: int) -> None:
+        self.bound.discard(proxy)
         for known in (self.zone_of, self.unanswered, self.charges):
             known.pop(proxy, None)
-        self.bound.discard(proxy)
 
     def order(self, order: orders.Order, proxies: list[int], lines: int = 1) -> None:
         self.desk.out.append(order)
@@ -448,9 +449,7 @@
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines."""
-        if not any(table.pushed for table in self.tables):
-            return
-        for proxy in self.zone_of.keys() - self.bound:
+        for proxy in sorted(self.zone_of.keys() - self.bound) if any(t.pushed for t in self.tables) else ():
             self.bound.add(proxy)
             for table in self.tables:
                 if self.uses(proxy, table):
@@ -513,11 +512,11 @@
             self.set_level(table, product, self.share[place])
 
     def set_level(self, table: Table, product: int, share: float) -> None:
-        level = self.publisher.OPEN[self.unit]
+        open_ = level = self.publisher.OPEN[self.unit]
         if share < 1:
             level = share if self.unit is LevelUnit.SHARE else self.rate_for(table, product, share)
-        before = self.sent.get((table.number, product), self.publisher.OPEN[self.unit])
-        if abs(level - before) > self.STEP * before or (share == 1 and level != before):
+        before = self.sent.get((table.number, product), open_)
+        if abs(level - before) > self.STEP * before or level == open_ != before:
             self.sent[table.number, product] = level
             self.desk.put(self.publisher, orders.SetLevel(table.number, (product,), level, Publisher.RETRY))
 
