--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -104,7 +104,8 @@
     MOST_SHUT = 0.34  # of all hosts and of a zone's: the rest has to bear their load
     # A host that comes back enters at the design's quarter and gains half as much again each turn.
     ENTRY, RISE = 0.25, 1.5
-    CALM, DROWNING = 0.3, 0.65  # parts of the SLA time: a usual answer takes less; beyond, queues are long
+    CALM, HEARD = 0.3, 3.0  # a usual answer's part of the SLA time; tries that make a word of its own
+    FLOCK = 2.5  # three voided tries in a row shun a host for some seconds, at about one try in two seconds
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -136,20 +137,21 @@
         """Cold hosts get the part of their kind's weight that they are sure to bear: no budget comes near.
 
         Guards against a host pushed over as it starts, whoever else sends there. In a fleet under strain more
-        comes to a weight, and proxies shun hosts that void txns and flock to the rest: the part shrinks as
-        answers grow late, at last to nothing. Harm: a fast warmer could take more.
+        comes to a weight, and proxies shun hosts that void txns and flock to the rest: the part shrinks with
+        both, and as the fleet's or, once heard, its own answers grow late. Harm: a fast warmer could take more.
         """
         fleet, i = self.fleet, self.place
         age, share = self.desk.now - self.started_us, self.share
-        strain = fleet.a_try(fleet.time_us) / self.terms.void_us
-        cold = 0 < self.started_us and age < self.terms.cold_us
-        if cold:
+        if 0 < self.started_us and age < self.terms.cold_us:
             share = min(share, self.terms.cold_share
                         + (1 - self.terms.cold_share) * max(0, age) / self.terms.cold_us)
-        share *= min(1.0, self.CALM / max(strain, 0.01)) if share < 1 else 1.0
-        fleet.cap[i] = NO_CAP if share >= 1 else share * fleet.kin_mean(i)
-        if cold and strain > self.DROWNING:
-            fleet.cap[i] = 0.0
+        if share >= 1:
+            fleet.cap[i] = NO_CAP
+            return
+        mean_us = fleet.time_us[i] / fleet.tries[i] if fleet.tries[i] > self.HEARD else fleet.a_try(fleet.time_us)
+        calm = min(1.0, self.CALM * self.terms.void_us / max(mean_us, 1.0))
+        voided = min(0.99, fleet.a_try(fleet.voided))
+        fleet.cap[i] = share * calm * (1 - voided) / (1 + self.FLOCK * voided**3) * fleet.kin_mean(i)
 
     def fade(self) -> None:
         self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / self.MEMORY_US))
@@ -334,7 +336,7 @@
         if all(fleet.cap[i] < NO_CAP for i in hosts):
             # Guards against a bare proxy: better a suspect than nobody, or than all txns on hosts still cold.
             hosts += [i for i, shut in enumerate(fleet.shut)
-                      if shut and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
+                      if shut and fleet.state[i] is HostState.READY and fleet.cap[i] and self.admits(fleet, i)]
         weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in hosts}
         total, sum_w = self.SLOTS_A_HOST * len(weights), sum(weights.values())
         exact = {i: weight * total / sum_w for i, weight in weights.items()}
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -116,6 +116,8 @@
     bench.steward.fleet.shut[0] = True
     bench.give(changes(entry(101, DRAINING), entry(102, GONE), entry(103, started_us=bench.now)))
     assert 100 in bench.picks(0, 0)
+    bench.steward.fleet.cap[0] = bench.steward.fleet.cap[3] = 0.0  # nobody at all: nothing changes
+    bench.give(changes(entry(101, GONE)))
 
 
 def test_a_cold_host_enters_low_rises_and_stays_out_of_a_drowning_fleet():
