Cold caps shrink with the voided part and with late answers, and never to nothing

Symptom: the decisions ended with an error half a minute in. Cause: a table whose only hosts were shut ones held at no weight divided by nothing; told by the report's own line.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -65,7 +65,7 @@
     def playing(self) -> list[int]:
         """Hosts that may be sent txns."""
         return [i for i, state in enumerate(self.state)
-                if state is HostState.READY and not self.shut[i] and self.cap[i] > 0]
+                if state is HostState.READY and not self.shut[i]]
 
     def a_try(self, sums: list[float]) -> float:
         """Such a sum's part in a try, over all hosts listed ready."""
@@ -104,8 +104,7 @@
     MOST_SHUT = 0.34  # of all hosts and of a zone's: the rest has to bear their load
     # A host that comes back enters at the design's quarter and gains half as much again each turn.
     ENTRY, RISE = 0.25, 1.5
-    CALM, HEARD = 0.3, 3.0  # a usual answer's part of the SLA time; tries that make a word of its own
-    FLOCK = 2.5  # three voided tries in a row shun a host for some seconds, at about one try in two seconds
+    CALM = 0.3  # of the SLA time: a usual answer takes less
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -138,7 +137,7 @@
 
         Guards against a host pushed over as it starts, whoever else sends there. In a fleet under strain more
         comes to a weight, and proxies shun hosts that void txns and flock to the rest: the part shrinks with
-        both, and as the fleet's or, once heard, its own answers grow late. Harm: a fast warmer could take more.
+        both, as tries are voided and answers grow late. Harm: a fast warmer, and an overload, could use more.
         """
         fleet, i = self.fleet, self.place
         age, share = self.desk.now - self.started_us, self.share
@@ -148,10 +147,8 @@
         if share >= 1:
             fleet.cap[i] = NO_CAP
             return
-        mean_us = fleet.time_us[i] / fleet.tries[i] if fleet.tries[i] > self.HEARD else fleet.a_try(fleet.time_us)
-        calm = min(1.0, self.CALM * self.terms.void_us / max(mean_us, 1.0))
-        voided = min(0.99, fleet.a_try(fleet.voided))
-        fleet.cap[i] = share * calm * (1 - voided) / (1 + self.FLOCK * voided**3) * fleet.kin_mean(i)
+        calm = min(1.0, self.CALM * self.terms.void_us / max(fleet.a_try(fleet.time_us), 1.0))
+        fleet.cap[i] = share * calm * (1.01 - fleet.a_try(fleet.voided)) * fleet.kin_mean(i)
 
     def fade(self) -> None:
         self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / self.MEMORY_US))
@@ -336,7 +333,7 @@
         if all(fleet.cap[i] < NO_CAP for i in hosts):
             # Guards against a bare proxy: better a suspect than nobody, or than all txns on hosts still cold.
             hosts += [i for i, shut in enumerate(fleet.shut)
-                      if shut and fleet.state[i] is HostState.READY and fleet.cap[i] and self.admits(fleet, i)]
+                      if shut and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
         weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in hosts}
         total, sum_w = self.SLOTS_A_HOST * len(weights), sum(weights.values())
         exact = {i: weight * total / sum_w for i, weight in weights.items()}
