Levels count an overload once and judge by the mean SLA time of all products

Causes: the late txns of the overload outlasted it in the fading sum; each turn fell again before the last fall could show; the zone tables' short SLA time judged answers of longer products. Now each turn's own sums count, a fall starts from the share in force four turns ago and goes to what was answered well, and all tables are judged by one mean SLA time. Also guards against bursts; harm: where answers are late for other reasons than load, some txns are declined. The hosts' arrays are storage and live in figures.py.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -1,8 +1,8 @@
 """All decisions of a steward: Steward(facts, seed), then deliver(clock_us, notes) -> orders, once a batch.
 
-Facts, notes and orders are the types in plankroute/interface. The design (docs/design.md) sets the ordinary
-tables: a leaky PID on fill moves each host's weight every turn; weights become integer slots of one shared
-table, and only changed slots are pushed. Beside it stand, in this file's order:
+Facts, notes and orders are the types in plankroute/interface; actors.py holds the loop, figures.py the hosts'
+arrays. The design (docs/design.md) sets the ordinary tables: a leaky PID on fill moves each host's weight
+every turn; weights become integer slots of one shared table, and only changed slots are pushed. Beside it:
 1. Cold hosts: a host just started, or let back in, is capped and rises as it warms.
 2. Health: a host that voids its txns or is silent is probed, shut out, and let back by degrees.
 3. Drains: hosts that drain or are gone are withdrawn before all else.
@@ -16,12 +16,12 @@
 from typing import Any
 
 from plankroute.actors import Actor, Desk
+from plankroute.figures import NO_CAP, Figures
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import LevelUnit, ReportWay, StartFacts
 from plankroute.interface.notes import HostState, ListKind, Outcome
 
 SECOND_US = 1_000_000
-NO_CAP = float("inf")
 
 
 class Turn:
@@ -32,40 +32,12 @@
     """A note: hosts came, went or moved, so tables follow."""
 
 
-class Fleet:
-    """Parallel arrays of host figures under a dense index; ids are mapped at the door."""
-
-    def __init__(self) -> None:
-        self.index: dict[int, int] = {}
-        self.ids, self.zone, self.kind, self.state = list[int](), list[int](), list[int](), list[HostState]()
-        # cap: the most that an entering host's weight counts for
-        self.listed, self.weight, self.cap = list[float](), list[float](), list[float]()
-        self.error, self.integral = list[float | None](), list[float]()
-        self.shut, self.news = list[bool](), list[bool]()  # news: heard since the last turn
-        # Fading sums of the recent past; held is what load reports told
-        self.tries, self.voided, self.time_us = list[float](), list[float](), list[float]()
-        self.reports, self.held, self.heard_us = list[float](), list[float](), list[int]()
-
-    def add(self, entry: notes.HostEntry) -> int:
-        place = self.index[entry.host] = len(self.ids)
-        weight = entry.weight or 1.0
-        for array, value in (
-                (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
-                (self.kind, entry.kind), (self.listed, weight), (self.weight, weight), (self.cap, NO_CAP),
-                (self.shut, False), (self.error, None), (self.integral, 0.0), (self.news, False),
-                (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
-                (self.held, 0.0), (self.heard_us, 0)):
-            array.append(value)
-        return place
-
-    def fade(self, place: int, keep: float) -> None:
-        for sums in (self.tries, self.voided, self.time_us, self.reports, self.held):
-            sums[place] *= keep
+class Fleet(Figures):
+    """The host figures, and what is judged from them for all hosts at once."""
 
     def playing(self) -> list[int]:
         """Hosts that may be sent txns."""
-        return [i for i, state in enumerate(self.state)
-                if state is HostState.READY and not self.shut[i]]
+        return [i for i, state in enumerate(self.state) if state is HostState.READY and not self.shut[i]]
 
     def a_try(self, sums: list[float]) -> float:
         """Such a sum's part in a try, over all hosts listed ready."""
@@ -357,6 +329,10 @@
     return list(tables.values())
 
 
+def mean_sla_us(facts: StartFacts) -> float:
+    return max(1.0, sum(product.sla_us for product in facts.products) / max(1, len(facts.products)))
+
+
 class Publisher(Actor):
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
 
@@ -475,17 +451,20 @@
     Guards against overload of any cause; does harm where answers are late though hosts are not full.
     """
 
-    HIGH, LOW = 0.65, 0.5  # of the SLA time: a mean beyond it leaves a long tail past it
+    HIGH, LOW = 0.55, 0.4  # of the SLA time: a mean beyond it leaves a long tail past it
     FALL, RISE, LEAST = 0.8, 1.15, 0.1  # a turn: quick enough for a burst, slow enough for late reports
+    LAG = 4  # turns until an order shows in the sums: a fall is counted from the share then in force
     STEP = 0.05  # smaller moves are not worth their lines
 
     def __init__(self, desk: Desk, facts: StartFacts, publisher: Publisher) -> None:
         super().__init__(desk)
         self.fleet, self.publisher, self.tables = publisher.fleet, publisher, publisher.tables
         self.unit = facts.level_unit
-        self.sla_us = [sum(facts.products[p].sla_us for p in table.products) / len(table.products)
-                       for table in self.tables]
+        self.sla_us = mean_sla_us(facts)
         self.share = [1.0] * len(self.tables)
+        self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]
+        # Since the last turn
+        self.late, self.voided, self.tries = ([0.0] * len(self.tables) for _ in range(3))
         self.sent: dict[tuple[int, int], float] = {}
         self.rates: dict[tuple[int, int], float] = {}  # txns a second, by proxy and product
 
@@ -494,19 +473,29 @@
             case notes.ProxyTraffic() if note.span_us > 0:
                 key, rate = (note.proxy, note.product), note.arrived * SECOND_US / note.span_us
                 self.rates[key] = (self.rates.get(key, rate) + rate) / 2
+            case notes.HostSums():
+                for place, table in enumerate(self.tables):
+                    if table.admits(self.fleet, self.fleet.index[note.host]):
+                        self.tries[place] += note.tries
+                        self.voided[place] += note.voided
+                        self.late[place] += (note.tries - note.voided) * note.mean_us / self.sla_us
             case Turn() if self.unit is not LevelUnit.NONE:
                 for place, table in enumerate(self.tables):
                     self.follow(place, table)
 
     def follow(self, place: int, table: Table) -> None:
-        fleet = self.fleet
-        hosts = [i for i in fleet.playing() if table.admits(fleet, i)]
-        tries = max(1.0, sum(fleet.tries[i] for i in hosts))
-        late = sum(fleet.time_us[i] for i in hosts) / tries / self.sla_us[place]
-        if late > self.HIGH:
-            self.share[place] = max(self.LEAST, self.share[place] * self.FALL)
-        elif late < self.LOW:
-            self.share[place] = min(1.0, self.share[place] * self.RISE)
+        """Turn by turn: in a sum by txns the many late ones of an overload would outlast it."""
+        share, tries, past = self.share[place], self.tries[place], self.past[place]
+        past.append(share)
+        if tries:
+            good = 1 - self.voided[place] / tries
+            late = self.late[place] / tries + 1 - good
+            if late > self.HIGH:
+                share = max(self.LEAST, min(share, past[0] * min(self.FALL, good)))
+            elif late < self.LOW:
+                share = min(1.0, share * self.RISE)
+        self.share[place] = share
+        self.late[place] = self.voided[place] = self.tries[place] = 0
         for product in table.products:
             self.set_level(table, product, self.share[place])
 
@@ -573,9 +562,8 @@
         self.levels = Levels(self.desk, facts, self.publisher)
         self.slices = Slices(self.desk, self.fleet)
         self.must_subscribe, self.started = facts.must_subscribe, False
-        void_us = max(1.0, sum(p.sla_us for p in facts.products) / max(1, len(facts.products)))
         self.terms = HostTerms(max(1, facts.cold_us), facts.cold_share, facts.may_probe,
-                               facts.reports is ReportWay.PROBES, void_us)
+                               facts.reports is ReportWay.PROBES, mean_sla_us(facts))
 
     def deliver(self, clock_us: int, batch: list[notes.Note]) -> list[orders.Order]:
         desk, changed = self.desk, False
@@ -612,6 +600,7 @@
             case notes.HostSums() | notes.ProbeResult():
                 if note.host in index:
                     desk.put(self.hosts[index[note.host]], note)
+                    desk.put(self.levels, note)
             case notes.ProxyTraffic():
                 desk.put(self.levels, note)
             case notes.SliceCharge() | notes.SliceLine():
--- /dev/null
+++ b/plankroute/figures.py
@@ -0,0 +1,50 @@
+"""Parallel arrays of host figures under a small dense index; storage only, nothing here decides anything."""
+
+from plankroute.interface.notes import HostEntry, HostState
+
+NO_CAP = float("inf")
+
+
+class Figures:
+    """One place a host, for good: ids are mapped at the door, and a host that is gone keeps its place."""
+
+    def __init__(self) -> None:
+        self.index: dict[int, int] = {}
+        self.ids: list[int] = []
+        # What the list says
+        self.state: list[HostState] = []
+        self.zone: list[int] = []
+        self.kind: list[int] = []
+        self.listed: list[float] = []
+        # The controller's
+        self.weight: list[float] = []
+        self.error: list[float | None] = []
+        self.integral: list[float] = []
+        self.news: list[bool] = []  # heard since the last turn
+        # Beside the controller
+        self.cap: list[float] = []  # the most that an entering host's weight counts for
+        self.shut: list[bool] = []
+        # Fading sums of the recent past; held is what load reports told
+        self.tries: list[float] = []
+        self.voided: list[float] = []
+        self.time_us: list[float] = []
+        self.reports: list[float] = []
+        self.held: list[float] = []
+        self.heard_us: list[int] = []  # the clock at the last word
+
+    def add(self, entry: HostEntry) -> int:
+        """The place of a host not seen before; it is not ready until its entry is handled."""
+        place = self.index[entry.host] = len(self.ids)
+        weight = entry.weight or 1.0
+        for array, value in (
+                (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
+                (self.kind, entry.kind), (self.listed, weight), (self.weight, weight), (self.cap, NO_CAP),
+                (self.shut, False), (self.error, None), (self.integral, 0.0), (self.news, False),
+                (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
+                (self.held, 0.0), (self.heard_us, 0)):
+            array.append(value)
+        return place
+
+    def fade(self, place: int, keep: float) -> None:
+        for sums in (self.tries, self.voided, self.time_us, self.reports, self.held):
+            sums[place] *= keep
