Cold caps by the voided part and the flock alone, no longer by late answers

Cold hosts held under one txn each while the warm ones held thirty: late answers alone are no sign of a rush.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -76,7 +76,8 @@
     MOST_SHUT = 0.34  # of all hosts and of a zone's: the rest has to bear their load
     # A host that comes back enters at the design's quarter and gains half as much again each turn.
     ENTRY, RISE = 0.25, 1.5
-    CALM = 0.3  # of the SLA time: a usual answer takes less
+    # Three voided tries in a row shun a host for about five seconds, at about one try in two seconds.
+    FLOCK = 2.5
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -107,20 +108,18 @@
     def warm(self) -> None:
         """Cold hosts get the part of their kind's weight that they are sure to bear: no budget comes near.
 
-        Guards against a host pushed over as it starts, whoever else sends there. In a fleet under strain more
-        comes to a weight, and proxies shun hosts that void txns and flock to the rest: the part shrinks with
-        both, as tries are voided and answers grow late. Harm: a fast warmer, and an overload, could use more.
+        Guards against a host pushed over as it starts, whoever else sends there. Where tries are voided, more
+        of them come to a weight than hosts can answer, and proxies shun the others and flock to what is left:
+        the part shrinks by both. Harm: a fast warmer could take more.
         """
         fleet, i = self.fleet, self.place
         age, share = self.desk.now - self.started_us, self.share
         if 0 < self.started_us and age < self.terms.cold_us:
             share = min(share, self.terms.cold_share
                         + (1 - self.terms.cold_share) * max(0, age) / self.terms.cold_us)
-        if share >= 1:
-            fleet.cap[i] = NO_CAP
-            return
-        calm = min(1.0, self.CALM * self.terms.void_us / max(fleet.a_try(fleet.time_us), 1.0))
-        fleet.cap[i] = share * calm * (1.01 - fleet.a_try(fleet.voided)) * fleet.kin_mean(i)
+        voided = fleet.a_try(fleet.voided)
+        bears = share * (1.01 - voided) / (1 + self.FLOCK * voided**3)
+        fleet.cap[i] = NO_CAP if share >= 1 else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
         self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / self.MEMORY_US))
