--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -473,8 +473,10 @@
                 key, rate = (note.proxy, note.product), note.arrived * SECOND_US / note.span_us
                 self.rates[key] = (self.rates.get(key, rate) + rate) / 2
             case notes.HostSums():
+                host = self.fleet.index[note.host]
                 for place, table in enumerate(self.tables):
-                    if table.admits(self.fleet, self.fleet.index[note.host]):
+                    # By what its own proxies met: a zone behind a cut may serve its own all the same.
+                    if table.proxy_zone in (None, note.zone) and table.admits(self.fleet, host):
                         self.tries[place] += note.tries
                         self.voided[place] += note.voided
                         self.late[place] += (note.tries - note.voided) * note.mean_us / self.sla_us
@@ -486,13 +488,12 @@
         """Turn by turn: in a sum by txns the many late ones of an overload would outlast it."""
         share, tries, past = self.share[place], self.tries[place], self.past[place]
         past.append(share)
-        if tries:
-            good = 1 - self.voided[place] / tries
-            late = self.late[place] / tries + 1 - good
-            if late > self.HIGH:
-                share = max(self.LEAST, min(share, past[0] * min(self.FALL, good)))
-            elif late < self.LOW:
-                share = min(1.0, share * self.RISE)
+        good = 1 - self.voided[place] / max(1, tries)
+        late = self.late[place] / max(1, tries) + 1 - good
+        if late > self.HIGH:
+            share = max(self.LEAST, min(share, past[0] * min(self.FALL, good)))
+        elif late < self.LOW:
+            share = min(1.0, share * self.RISE)
         self.share[place] = share
         self.late[place] = self.voided[place] = self.tries[place] = 0
         for product in table.products:
