--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -73,7 +73,7 @@
     SILENT_TRIES = 6.0
     # Probes in a row: two bad ones shut a suspect, four good ones let it back (twice as many each time).
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 4, 32
-    MOST_SHUT = 0.34  # of all hosts and of a zone's: the rest has to bear their load
+    MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
     # A host that comes back enters at the design's quarter and gains half as much again each turn.
     ENTRY, RISE = 0.25, 1.5
     # Three voided tries in a row shun a host for about five seconds, at about one try in two seconds.
@@ -183,11 +183,8 @@
 
     def spared(self) -> bool:
         """The rest can do without it."""
-        fleet = self.fleet
-        ready = [j for j, state in enumerate(fleet.state) if state is HostState.READY]
-        kin = [j for j in ready if fleet.zone[j] == fleet.zone[self.place]]
-        return all(sum(fleet.shut[j] for j in group) + 1 <= self.MOST_SHUT * len(group)
-                   for group in (ready, kin))
+        ready = [shut for shut, state in zip(self.fleet.shut, self.fleet.state) if state is HostState.READY]
+        return sum(ready) + 1 <= self.MOST_SHUT * len(ready)
 
     def consider_return(self) -> None:
         """After good probes in a row; where none may be sent, after as many turns."""
@@ -301,10 +298,11 @@
     def slots(self, fleet: Fleet) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         hosts = [i for i in fleet.playing() if self.admits(fleet, i)]
-        if all(fleet.cap[i] < NO_CAP for i in hosts):
-            # Guards against a bare proxy: better a suspect than nobody, or than all txns on hosts still cold.
-            hosts += [i for i, shut in enumerate(fleet.shut)
-                      if shut and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
+        suspects = [i for i, shut in enumerate(fleet.shut)
+                    if shut and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
+        if sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
+            # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
+            hosts += suspects
         weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in hosts}
         total, sum_w = self.SLOTS_A_HOST * len(weights), sum(weights.values())
         exact = {i: weight * total / sum_w for i, weight in weights.items()}
