--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -62,11 +62,13 @@
     void_us: float  # a voided txn counts as one that took this long
 
 
+# Half-life of sums: older ones say little of now, and the noise of two or three reports averages out.
+MEMORY_US = 3 * SECOND_US
+
+
 class Host(Actor):
     """One host: its place in the list, whether it is cold, what is heard of it, and its health."""
 
-    # Half-life of sums: older ones say little of now, and the noise of two or three reports averages out.
-    MEMORY_US = 3 * SECOND_US
     # An excess of a quarter over the fleet, and three txns at least, is beyond chance.
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0
     # Expected tries without a word: by chance alone once in some hundred times.
@@ -122,7 +124,7 @@
         fleet.cap[i] = NO_CAP if share >= 1 else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
-        self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / self.MEMORY_US))
+        self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / MEMORY_US))
         self.faded_us = self.desk.now
 
     def on_sums(self, sums: notes.HostSums) -> None:
@@ -177,7 +179,7 @@
         if not others:
             return False
         tries = sum(fleet.tries[j] for j in others) / sum(fleet.weight[j] for j in others)
-        per_us = tries * min(fleet.weight[i], fleet.cap[i]) * 0.693 / self.MEMORY_US
+        per_us = tries * min(fleet.weight[i], fleet.cap[i]) * 0.693 / MEMORY_US
         last_us = sorted(fleet.heard_us[j] for j in others)[len(others) // 2]
         return (last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
@@ -226,11 +228,12 @@
         self.turns += 1
         eager = 1 + self.EAGER / self.turns if len({fleet.listed[i] for i in playing}) == 1 else 1.0
         for i in playing:
-            error = mean_fill - fills.get(i, mean_fill)
-            before = fleet.error[i]
-            change = error - before if fleet.news[i] and before is not None else 0.0
+            # No news, no error: unheard hosts count as average, so a blind steward's weights stay.
+            error = mean_fill - fills[i] if fleet.news[i] and i in fills else 0.0
+            before, change = fleet.error[i], 0.0
             fleet.integral[i] = fleet.integral[i] * (1 - self.LEAK) + error
             if fleet.news[i]:
+                change = error - before if before is not None else 0.0
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
             fleet.weight[i] = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
@@ -245,20 +248,32 @@
             return {}
         size = sum(fleet.listed[i] for i in playing) / len(playing)
         stress = {}
+        held = {i: fleet.held[i] / fleet.reports[i] for i in times if fleet.reports[i] > 0.1}
         for hosts in self.groups(times):
             # Hosts open to the same products: others have another mix of work, and other tries a weight.
             usual = sum(times[i] for i in hosts) / len(hosts)
-            rate = (max(1.0, sum(fleet.tries[i] for i in hosts))
-                    / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts))
+            pace = self.pace(hosts, times, held)
             for i in hosts:
-                held = fleet.held[i] / fleet.reports[i] if fleet.reports[i] > 0.01 else 0.0
                 at_once = self.AT_ONCE * fleet.listed[i] / size
-                crowd = max(1.0, held / at_once)
-                stress[i] = (rate * fleet.weight[i] * times[i] / at_once * crowd ** (self.DRAIN - 1)
+                crowd = max(1.0, held.get(i, 0.0) / at_once)
+                stress[i] = (pace * fleet.weight[i] * times[i] / at_once * crowd ** (self.DRAIN - 1)
                              * (times[i] / usual) ** self.SLOWNESS)
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
+    def pace(self, hosts: list[int], times: dict[int, float], held: dict[int, float]) -> float:
+        """Txns a weight and time: by what hosts hold from all proxies, so stewards do not part ways.
+
+        Where no host reports, by the tries of this steward's own proxies.
+        """
+        fleet = self.fleet
+        told = [i for i in hosts if i in held] or hosts
+        if sum(held.get(i, 0.0) for i in told) > 0:
+            return (sum(held[i] for i in told)
+                    / sum(min(fleet.weight[i], fleet.cap[i]) * times[i] for i in told))
+        return (max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US
+                / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts))
+
     def groups(self, times: dict[int, float]) -> list[list[int]]:
         groups: dict[tuple[bool, ...], list[int]] = {}
         for i in times:
