--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -206,7 +206,6 @@
     KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10
     EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
-    UNHEARD_US = 2 * SECOND_US  # two turns: a report or two may be late
     # Surcharges for a slow host, whose txns lie nearer to their SLA time, and for a queue, which would stay
     # at a load that a host just bears; more of either made queues swing.
     SLOWNESS, DRAIN = 0.3, 0.3
@@ -229,9 +228,8 @@
         self.turns += 1
         eager = 1 + self.EAGER / self.turns if len({fleet.listed[i] for i in playing}) == 1 else 1.0
         for i in playing:
-            # Unheard hosts count as average, so a blind steward's weights stay.
-            heard = i in fills and self.desk.now - fleet.heard_us[i] < self.UNHEARD_US
-            error = mean_fill - fills[i] if heard else 0.0
+            # No news, no error: unheard hosts count as average, so a blind steward's weights stay.
+            error = mean_fill - fills[i] if fleet.news[i] and i in fills else 0.0
             before, change = fleet.error[i], 0.0
             fleet.integral[i] = fleet.integral[i] * (1 - self.LEAK) + error
             if fleet.news[i]:
