Silent hosts are shut at their first bad probe, as it comes

Symptom: 42% of the txns given up for ten seconds, all list entries ready. Cause: a zone was out of reach; tries there ended only after seconds, so voided txns came late and two bad probes at one a turn later still. Told from overload by answers of 140 ms elsewhere and by the zone's silence in the sums. Four expected tries without a word now ask a probe, and its failure shuts the host at once; bad probes of a host that is no suspect are forgotten. Harm: a host that stands still for a second and fails one probe loses its share for some seconds.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -71,15 +71,12 @@
 
     # An excess of a quarter over the fleet, and three txns at least, is beyond chance.
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0
-    # Expected tries without a word: by chance alone once in some hundred times.
-    SILENT_TRIES = 6.0
-    # Probes in a row: two bad ones shut a suspect, four good ones let it back (twice as many each time).
+    SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
+    # Probes in a row: two bad ones shut a suspect (one a silent host), four good, later more, let it back.
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 4, 32
     MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
-    # A host that comes back enters at the design's quarter and gains half as much again each turn.
-    ENTRY, RISE = 0.25, 1.5
-    # Three voided tries in a row shun a host for about five seconds, at about one try in two seconds.
-    FLOCK = 2.5
+    ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
+    FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -149,6 +146,13 @@
             self.on_report(probe.report)
         elif probe.outcome is not Outcome.TURNED_AWAY:
             self.good_probes, self.bad_probes = 0, self.bad_probes + 1
+            self.consider_shutting()
+
+    def consider_shutting(self) -> None:
+        fleet, i = self.fleet, self.place
+        enough = self.bad_probes >= (1 if self.silent() else self.BAD_PROBES)
+        if i in fleet.playing() and enough and self.suspect() and self.spared():
+            fleet.shut[i], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Turn) -> None:
         fleet, i = self.fleet, self.place
@@ -158,10 +162,10 @@
         suspect = not fleet.shut[i] and self.suspect()
         if fleet.shut[i]:
             self.consider_return()
-        elif suspect and self.bad_probes >= self.BAD_PROBES and self.spared():
-            fleet.shut[i], self.good_probes, self.shut_us = True, 0, self.desk.now
         else:
             self.share = min(1.0, self.share * self.RISE)
+            if not suspect and not self.terms.probe_always:
+                self.bad_probes = 0
         self.warm()
         if self.terms.may_probe and (self.terms.probe_always or suspect or fleet.shut[i]):
             self.desk.out.append(orders.Probe(fleet.ids[i]))
@@ -266,13 +270,12 @@
 
         Where no host reports, by the tries of this steward's own proxies.
         """
-        fleet = self.fleet
-        told = [i for i in hosts if i in held] or hosts
-        if sum(held.get(i, 0.0) for i in told) > 0:
-            return (sum(held[i] for i in told)
-                    / sum(min(fleet.weight[i], fleet.cap[i]) * times[i] for i in told))
-        return (max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US
-                / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts))
+        fleet, told = self.fleet, [i for i in hosts if held.get(i, 0.0) > 0]
+        if told:
+            weights = sum(min(fleet.weight[i], fleet.cap[i]) * times[i] for i in told)
+            return sum(held[i] for i in told) / weights
+        tries = max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US
+        return tries / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts)
 
     def groups(self, times: dict[int, float]) -> list[list[int]]:
         groups: dict[tuple[bool, ...], list[int]] = {}
@@ -614,6 +617,7 @@
                 if note.host in index:
                     desk.put(self.hosts[index[note.host]], note)
                     desk.put(self.levels, note)
+                    return isinstance(note, notes.ProbeResult) and note.outcome is not Outcome.ANSWERED
             case notes.ProxyTraffic():
                 desk.put(self.levels, note)
             case notes.SliceCharge() | notes.SliceLine():
