--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -72,8 +72,8 @@
     # An excess of a quarter over the fleet, and three txns at least, is beyond chance.
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
-    # Probes in a row: two bad ones shut a suspect (one a silent host), four good, later more, let it back.
-    BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 4, 32
+    # Probes in a row: two bad ones shut a suspect (one a silent host), two good, later more, let it back.
+    BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32
     MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
