--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -212,7 +212,7 @@
     FLOOR = 0.05
     # Surcharges for a slow host, whose txns lie nearer to their SLA time, and for a queue, which would stay
     # at a load that a host just bears; more of either made queues swing.
-    SLOWNESS, DRAIN = 0.3, 0.3
+    SLOWNESS, DRAIN = 0.3, 0.45
     # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
     AT_ONCE = 3.0
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
