--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -13,6 +13,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 from plankroute.actors import Actor, Desk
@@ -24,12 +25,10 @@
 SECOND_US = 1_000_000
 
 
-class Turn:
-    """A note: another turn is due."""
+class Beat(Enum):
+    """Notes between parts: another turn is due; hosts came, went or moved, so tables follow."""
 
-
-class Changed:
-    """A note: hosts came, went or moved, so tables follow."""
+    TURN, CHANGED = 1, 2
 
 
 class Fleet(Figures):
@@ -88,7 +87,7 @@
 
     def handle(self, note: Any) -> None:
         work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
-                notes.ProbeResult: self.on_probe, Turn: self.on_turn}
+                notes.ProbeResult: self.on_probe, Beat: self.on_turn}
         work[type(note)](note)
 
     def on_entry(self, entry: notes.HostEntry) -> None:
@@ -154,7 +153,7 @@
         if i in fleet.playing() and enough and self.suspect() and self.spared():
             fleet.shut[i], self.shut_us = True, self.desk.now
 
-    def on_turn(self, _: Turn) -> None:
+    def on_turn(self, _: Beat) -> None:
         fleet, i = self.fleet, self.place
         if fleet.state[i] is not HostState.READY:
             return
@@ -352,6 +351,7 @@
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
 
     ORDINARY_PART = 0.35  # of the limit may be unanswered; what the rules demand has the rest
+    LEARN_US = 6 * SECOND_US  # reports come two turns late, and the eager turns are over
     # Lets everything in; another try only once it is proven that the first never ran: that does no harm, and
     # any other doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
@@ -362,20 +362,25 @@
         self.fleet, self.serial = fleet, 0
         self.head, self.allowance = facts.head_lines, self.ORDINARY_PART * facts.queue_cap
         self.tables = [] if facts.slices else tables_for(facts)
+        self.most, self.window_us, self.learnt_us = facts.messages_most, facts.messages_window_us, 0
+        self.sent_us: dict[int, deque[int]] = {}  # when each proxy was written to, where that is limited
         self.zone_of: dict[int, int] = {}  # of joined proxies
-        self.bound, self.withdrawn = set[int](), set[int]()
+        self.bound, self.tuned, self.withdrawn = set[int](), set[int](), set[int]()
         self.unanswered: dict[int, deque[tuple[int, int]]] = {}
         self.charges: dict[int, int] = {}  # lines of this batch's message to each proxy
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
 
     def handle(self, note: Any) -> None:
+        self.learnt_us = self.learnt_us or self.desk.now + self.LEARN_US
         match note:
             case notes.HostEntry():
                 self.withdraw(note)
             case notes.ProxyJoined():
                 self.on_left(note.proxy)
                 self.zone_of[note.proxy], self.unanswered[note.proxy] = note.zone, deque()
+                self.sent_us[note.proxy] = deque(maxlen=self.most)
+                (self.tuned.discard if note.fresh else self.tuned.add)(note.proxy)
                 self.bind_waiting()
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
@@ -385,13 +390,13 @@
                     waiting.popleft()
             case orders.SetLevel():
                 self.order(note, self.users(self.tables[note.table]))
-            case Changed():
+            case Beat.CHANGED:
                 self.publish()
                 self.bind_waiting()
 
     def on_left(self, proxy: int) -> None:
         self.bound.discard(proxy)
-        for known in (self.zone_of, self.unanswered, self.charges):
+        for known in (self.zone_of, self.unanswered, self.charges, self.sent_us):
             known.pop(proxy, None)
 
     def order(self, order: orders.Order, proxies: list[int], lines: int = 1) -> None:
@@ -408,8 +413,10 @@
             self.order(orders.Withdraw(entry.host, out), list(self.zone_of))
 
     def crowded(self) -> bool:
-        return (sum(lines for queue in self.unanswered.values() for _, lines in queue)
-                + sum(self.charges.values())) > self.allowance
+        lines = sum(lines for queue in self.unanswered.values() for _, lines in queue)
+        recent = max((sum(at > self.desk.now - self.window_us for at in sent) for sent in self.sent_us.values()),
+                     default=0)
+        return lines + sum(self.charges.values()) > self.allowance or 0 < self.most <= 2 * recent
 
     def publish(self) -> None:
         """Changed slots only; while many lines are unanswered, only those that shut or cap a host.
@@ -438,8 +445,14 @@
         return [proxy for proxy in self.zone_of if proxy in self.bound and self.uses(proxy, table)]
 
     def bind_waiting(self) -> None:
-        """Each proxy once a stream, and never to tables without lines."""
-        for proxy in sorted(self.zone_of.keys() - self.bound) if any(t.pushed for t in self.tables) else ():
+        """Each proxy once a stream, never to tables without lines, and tuned ones not to tables still untaught.
+
+        Guards what proxies hold when a steward comes back; harm: that is let be for a few seconds more.
+        """
+        untaught = (self.desk.now < self.learnt_us and not self.withdrawn
+                    and all(cap == NO_CAP for cap in self.fleet.cap))
+        waiting = self.zone_of.keys() - self.bound - (self.tuned if untaught else set())
+        for proxy in sorted(waiting) if any(table.pushed for table in self.tables) else ():
             self.bound.add(proxy)
             for table in self.tables:
                 if self.uses(proxy, table):
@@ -457,6 +470,7 @@
             if self.serial == 1:
                 self.unanswered[proxy].clear()
             self.unanswered[proxy].append((self.serial, lines + 1))
+            self.sent_us[proxy].append(self.desk.now)
         self.charges.clear()
 
 
@@ -496,7 +510,7 @@
                         self.tries[place] += note.tries
                         self.voided[place] += note.voided
                         self.late[place] += (note.tries - note.voided) * note.mean_us / self.sla_us
-            case Turn() if self.unit is not LevelUnit.NONE:
+            case Beat.TURN if self.unit is not LevelUnit.NONE:
                 for place, table in enumerate(self.tables):
                     self.follow(place, table)
 
@@ -512,8 +526,8 @@
             share = min(1.0, share * self.RISE)
         self.share[place] = share
         self.late[place] = self.voided[place] = self.tries[place] = 0
-        for product in table.products:
-            self.set_level(table, product, self.share[place])
+        for product in table.products if not self.publisher.crowded() else ():
+            self.set_level(table, product, share)
 
     def set_level(self, table: Table, product: int, share: float) -> None:
         open_ = level = self.publisher.OPEN[self.unit]
@@ -551,7 +565,7 @@
             case notes.SliceLine(slice=number, host=host):
                 if number in self.lines and host in self.fleet.index:
                     self.lines[number].add(self.fleet.index[host])
-            case Changed():
+            case Beat.CHANGED:
                 self.settle()
 
     def settle(self) -> None:
@@ -591,7 +605,7 @@
             desk.run()
         if changed:
             for part in (self.publisher, self.slices):
-                desk.put(part, Changed())
+                desk.put(part, Beat.CHANGED)
             desk.run()
         self.publisher.close()
         out, desk.out = desk.out, []
@@ -650,5 +664,5 @@
             return False
         self.desk.out.append(orders.SetTimer(Balancer.TURN_US, self.TURN))
         for part in (*self.hosts, self.balancer, self.levels):
-            self.desk.put(part, Turn())
+            self.desk.put(part, Beat.TURN)
         return True
