--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -265,15 +265,12 @@
         return {i: value / (value + mean) for i, value in stress.items()}
 
     def pace(self, hosts: list[int], times: dict[int, float], held: dict[int, float]) -> float:
-        """Txns a weight and time: by what hosts hold from all proxies, so stewards do not part ways.
-
-        Where no host reports, by the tries of this steward's own proxies.
-        """
+        """Txns a weight and time: by what hosts hold from all proxies, so stewards do not part ways."""
         fleet, told = self.fleet, [i for i in hosts if held.get(i, 0.0) > 0]
         if told:
             weights = sum(min(fleet.weight[i], fleet.cap[i]) * times[i] for i in told)
             return sum(held[i] for i in told) / weights
-        tries = max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US
+        tries = max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US  # no reports: this steward's alone
         return tries / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts)
 
     def groups(self, times: dict[int, float]) -> list[list[int]]:
@@ -351,9 +348,7 @@
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
 
     ORDINARY_PART = 0.35  # of the limit may be unanswered; what the rules demand has the rest
-    LEARN_US = 6 * SECOND_US  # reports come two turns late, and the eager turns are over
-    # Lets everything in; another try only once it is proven that the first never ran: that does no harm, and
-    # any other doubled the load of late hosts.
+    # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
 
@@ -362,17 +357,16 @@
         self.fleet, self.serial = fleet, 0
         self.head, self.allowance = facts.head_lines, self.ORDINARY_PART * facts.queue_cap
         self.tables = [] if facts.slices else tables_for(facts)
-        self.most, self.window_us, self.learnt_us = facts.messages_most, facts.messages_window_us, 0
+        self.most, self.window_us = facts.messages_most, facts.messages_window_us
         self.sent_us: dict[int, deque[int]] = {}  # when each proxy was written to, where that is limited
         self.zone_of: dict[int, int] = {}  # of joined proxies
-        self.bound, self.tuned, self.withdrawn = set[int](), set[int](), set[int]()
+        self.bound, self.withdrawn = set[int](), set[int]()
         self.unanswered: dict[int, deque[tuple[int, int]]] = {}
         self.charges: dict[int, int] = {}  # lines of this batch's message to each proxy
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
 
     def handle(self, note: Any) -> None:
-        self.learnt_us = self.learnt_us or self.desk.now + self.LEARN_US
         match note:
             case notes.HostEntry():
                 self.withdraw(note)
@@ -380,7 +374,6 @@
                 self.on_left(note.proxy)
                 self.zone_of[note.proxy], self.unanswered[note.proxy] = note.zone, deque()
                 self.sent_us[note.proxy] = deque(maxlen=self.most)
-                (self.tuned.discard if note.fresh else self.tuned.add)(note.proxy)
                 self.bind_waiting()
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
@@ -414,15 +407,12 @@
 
     def crowded(self) -> bool:
         lines = sum(lines for queue in self.unanswered.values() for _, lines in queue)
-        recent = max((sum(at > self.desk.now - self.window_us for at in sent) for sent in self.sent_us.values()),
-                     default=0)
+        since = self.desk.now - self.window_us
+        recent = max((sum(at > since for at in sent) for sent in self.sent_us.values()), default=0)
         return lines + sum(self.charges.values()) > self.allowance or 0 < self.most <= 2 * recent
 
     def publish(self) -> None:
-        """Changed slots only; while many lines are unanswered, only those that shut or cap a host.
-
-        Guards the channel's limit through stalls, broken streams and a slow channel, for late weights.
-        """
+        """Changed slots only; in a crowded channel (stalls, breaks) only those that shut or cap a host."""
         fleet, crowded = self.fleet, self.crowded()
         for table in self.tables:
             slots = table.slots(fleet)
@@ -435,8 +425,7 @@
                     continue
                 self.order(orders.SetLine(table.number, fleet.ids[i], float(count)), users)
                 table.pushed[i] = count
-                if not count:
-                    del table.pushed[i]
+            table.pushed = {i: count for i, count in table.pushed.items() if count}
 
     def uses(self, proxy: int, table: Table) -> bool:
         return table.proxy_zone is None or table.proxy_zone == self.zone_of[proxy]
@@ -445,13 +434,8 @@
         return [proxy for proxy in self.zone_of if proxy in self.bound and self.uses(proxy, table)]
 
     def bind_waiting(self) -> None:
-        """Each proxy once a stream, never to tables without lines, and tuned ones not to tables still untaught.
-
-        Guards what proxies hold when a steward comes back; harm: that is let be for a few seconds more.
-        """
-        untaught = (self.desk.now < self.learnt_us and not self.withdrawn
-                    and all(cap == NO_CAP for cap in self.fleet.cap))
-        waiting = self.zone_of.keys() - self.bound - (self.tuned if untaught else set())
+        """Each proxy once a stream, and never to tables without lines."""
+        waiting = self.zone_of.keys() - self.bound
         for proxy in sorted(waiting) if any(table.pushed for table in self.tables) else ():
             self.bound.add(proxy)
             for table in self.tables:
@@ -462,10 +446,9 @@
 
     def close(self) -> None:
         """Marks what this batch wrote; the answers tell when it has left the channel."""
-        if not self.charges:
-            return
-        self.serial = self.serial % 65535 + 1  # as far as a mark counts
-        self.desk.out.append(orders.Mark(self.serial))
+        if self.charges:
+            self.serial = self.serial % 65535 + 1  # as far as a mark counts
+            self.desk.out.append(orders.Mark(self.serial))
         for proxy, lines in self.charges.items():
             if self.serial == 1:
                 self.unanswered[proxy].clear()
--- a/plankroute/simhost/__main__.py
+++ b/plankroute/simhost/__main__.py
@@ -44,7 +44,8 @@
             return [encode_order(instance, order) for order in steward.deliver(clock_us, notes)]
         except Exception as error:  # the wire asks for a word on any failure of a decision
             place = traceback.extract_tb(error.__traceback__)[-1]
-            return [encode_failure(instance, f"{type(error).__name__}: {error} at {place.name}:{place.lineno}")]
+            text = f"{type(error).__name__}: {error} at {place.name}:{place.lineno}"
+            return [encode_failure(instance, text)]
 
 
 def serve(source: BinaryIO, sink: BinaryIO) -> None:
