--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -463,8 +463,8 @@
     Guards against overload of any cause; does harm where answers are late though hosts are not full.
     """
 
-    HIGH, LOW = 0.55, 0.4  # of the SLA time: a mean beyond it leaves a long tail past it
-    FALL, RISE, LEAST = 0.8, 1.15, 0.1  # a turn: quick enough for a burst, slow enough for late reports
+    HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
+    FALL, RISE, LEAST = 0.7, 1.15, 0.1  # a turn: quick enough for a burst, slow enough for late reports
     LAG = 4  # turns until an order shows in the sums: a fall is counted from the share then in force
     STEP = 0.05  # smaller moves are not worth their lines
 
