Cold hosts have no line while over 0.7 of all tries are voided

Cause: proxies shun every host that voids three tries in a row, and all that is left is the new one. Harm: none seen; such a fleet settles next to nothing anyway.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -36,7 +36,8 @@
 
     def playing(self) -> list[int]:
         """Hosts that may be sent txns."""
-        return [i for i, state in enumerate(self.state) if state is HostState.READY and not self.shut[i]]
+        return [i for i, state in enumerate(self.state)
+                if state is HostState.READY and not self.shut[i] and self.cap[i] > 0]
 
     def a_try(self, sums: list[float]) -> float:
         """Such a sum's part in a try, over all hosts listed ready."""
@@ -76,6 +77,7 @@
     MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
+    DROWNING = 0.7  # part voided: beyond, nearly all hosts are shunned and all txns flock to a new one
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -108,7 +110,7 @@
 
         Guards against a host pushed over as it starts, whoever else sends there. Where tries are voided, more
         of them come to a weight than hosts can answer, and proxies shun the others and flock to what is left:
-        the part shrinks by both. Harm: a fast warmer could take more.
+        the part shrinks by both, at last to nothing. Harm: a fast warmer could take more.
         """
         fleet, i = self.fleet, self.place
         age, share = self.desk.now - self.started_us, self.share
@@ -116,7 +118,7 @@
             share = min(share, self.terms.cold_share
                         + (1 - self.terms.cold_share) * max(0, age) / self.terms.cold_us)
         voided = fleet.a_try(fleet.voided)
-        bears = share * (1.01 - voided) / (1 + self.FLOCK * voided**3)
+        bears = share * (1 - voided) / (1 + self.FLOCK * voided**3) if voided < self.DROWNING else 0.0
         fleet.cap[i] = NO_CAP if share >= 1 else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
@@ -148,10 +150,9 @@
             self.consider_shutting()
 
     def consider_shutting(self) -> None:
-        fleet, i = self.fleet, self.place
         enough = self.bad_probes >= (1 if self.silent() else self.BAD_PROBES)
-        if i in fleet.playing() and enough and self.suspect() and self.spared():
-            fleet.shut[i], self.shut_us = True, self.desk.now
+        if self.place in self.fleet.playing() and enough and self.suspect() and self.spared():
+            self.fleet.shut[self.place], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Beat) -> None:
         fleet, i = self.fleet, self.place
@@ -313,7 +314,7 @@
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         hosts = [i for i in fleet.playing() if self.admits(fleet, i)]
         suspects = [i for i, shut in enumerate(fleet.shut)
-                    if shut and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
+                    if shut and fleet.cap[i] and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
         if sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
             # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
             hosts += suspects
@@ -407,8 +408,8 @@
 
     def crowded(self) -> bool:
         lines = sum(lines for queue in self.unanswered.values() for _, lines in queue)
-        since = self.desk.now - self.window_us
-        recent = max((sum(at > since for at in sent) for sent in self.sent_us.values()), default=0)
+        recent = max((sum(at > self.desk.now - self.window_us for at in sent)
+                      for sent in self.sent_us.values()), default=0)
         return lines + sum(self.charges.values()) > self.allowance or 0 < self.most <= 2 * recent
 
     def publish(self) -> None:
@@ -475,7 +476,6 @@
         self.sla_us = mean_sla_us(facts)
         self.share = [1.0] * len(self.tables)
         self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]
-        # Since the last turn
         self.late, self.voided, self.tries = ([0.0] * len(self.tables) for _ in range(3))
         self.sent: dict[tuple[int, int], float] = {}
         self.rates: dict[tuple[int, int], float] = {}  # txns a second, by proxy and product
