--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -77,7 +77,7 @@
     MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
-    DROWNING = 0.7  # part voided: beyond, nearly all hosts are shunned and all txns flock to a new one
+    DROWNING = 0.5  # part voided: beyond, most hosts are soon shunned and all txns flock to a new one
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
