--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -46,9 +46,9 @@
 
     def kin_mean(self, place: int) -> float:
         """The usual weight of hosts of this kind: the best guess for one that is not heard yet."""
-        warm = [i for i in self.playing() if self.cap[i] == NO_CAP and i != place]
-        kin = [i for i in warm if self.kind[i] == self.kind[place]] or warm
-        return sum(self.weight[i] for i in kin) / len(kin) if kin else self.weight[place]
+        kin = [self.weight[i] for i in self.playing()
+               if self.kind[i] == self.kind[place] and self.cap[i] == NO_CAP and i != place]
+        return sum(kin) / len(kin) if kin else 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +241,7 @@
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
             fleet.weight[i] = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
-        scale = mean * len(playing) / sum(fleet.weight[i] for i in playing)
+        scale = len(playing) / sum(fleet.weight[i] for i in playing)
         for i in playing:
             fleet.weight[i] *= scale
 
