--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -12,8 +12,10 @@
 """
 
 from collections import deque
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from enum import Enum
+from itertools import groupby
 from typing import Any
 
 from plankroute.actors import Actor, Desk
@@ -202,6 +204,10 @@
             self.needed = min(self.MOST_PROBES, self.needed * 2)
 
 
+def grouped(hosts: Iterable[int], key: Callable[[int], Any]) -> list[list[int]]:
+    return [list(group) for _, group in groupby(sorted(hosts, key=key), key)]
+
+
 class Balancer(Actor):
     """The design's controller: a leaky PID on fill moves each host's weight."""
 
@@ -253,7 +259,7 @@
         size = sum(fleet.listed[i] for i in playing) / len(playing)
         stress = {}
         held = {i: fleet.held[i] / fleet.reports[i] for i in times if fleet.reports[i] > 0.1}
-        for hosts in self.groups(times):
+        for hosts in grouped(times, lambda i: tuple(table.admits(fleet, i) for table in self.tables)):
             # Hosts open to the same products: others have another mix of work, and other tries a weight.
             usual = sum(times[i] for i in hosts) / len(hosts)
             pace = self.pace(hosts, times, held)
@@ -274,18 +280,10 @@
         tries = max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US  # no reports: this steward's alone
         return tries / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts)
 
-    def groups(self, times: dict[int, float]) -> list[list[int]]:
-        groups: dict[tuple[bool, ...], list[int]] = {}
-        for i in times:
-            groups.setdefault(tuple(table.admits(self.fleet, i) for table in self.tables), []).append(i)
-        return list(groups.values())
-
     def times(self, playing: list[int]) -> dict[int, float]:
         """Each host's mean time, shrunk to its kind's; none for kinds that are not heard."""
-        fleet, times, kinds = self.fleet, dict[int, float](), dict[int, list[int]]()
-        for i in playing:
-            kinds.setdefault(fleet.kind[i], []).append(i)
-        for kin in kinds.values():
+        fleet, times = self.fleet, dict[int, float]()
+        for kin in grouped(playing, lambda i: fleet.kind[i]):
             tries = sum(fleet.tries[i] for i in kin)
             if tries > 0.5:
                 prior = sum(fleet.time_us[i] for i in kin) / tries
@@ -364,6 +362,7 @@
         self.bound, self.withdrawn = set[int](), set[int]()
         self.unanswered: dict[int, deque[tuple[int, int]]] = {}
         self.charges: dict[int, int] = {}  # lines of this batch's message to each proxy
+        self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
 
@@ -383,7 +382,7 @@
                 while waiting and waiting[0][0] <= note.serial:
                     waiting.popleft()
             case orders.SetLevel():
-                self.order(note, self.users(self.tables[note.table]))
+                self.levels[note.table, note.products] = note
             case Beat.CHANGED:
                 self.publish()
                 self.bind_waiting()
@@ -427,6 +426,10 @@
                 self.order(orders.SetLine(table.number, fleet.ids[i], float(count)), users)
                 table.pushed[i] = count
             table.pushed = {i: count for i, count in table.pushed.items() if count}
+        if not crowded:
+            for level in self.levels.values():
+                self.order(level, self.users(self.tables[level.table]))
+            self.levels.clear()
 
     def uses(self, proxy: int, table: Table) -> bool:
         return table.proxy_zone is None or table.proxy_zone == self.zone_of[proxy]
@@ -469,11 +472,10 @@
     LAG = 4  # turns until an order shows in the sums: a fall is counted from the share then in force
     STEP = 0.05  # smaller moves are not worth their lines
 
-    def __init__(self, desk: Desk, facts: StartFacts, publisher: Publisher) -> None:
+    def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts, publisher: Publisher) -> None:
         super().__init__(desk)
-        self.fleet, self.publisher, self.tables = publisher.fleet, publisher, publisher.tables
-        self.unit = facts.level_unit
-        self.sla_us = mean_sla_us(facts)
+        self.fleet, self.tables, self.publisher = fleet, publisher.tables, publisher
+        self.unit, self.sla_us, self.zone_of = facts.level_unit, mean_sla_us(facts), dict[int, int]()
         self.share = [1.0] * len(self.tables)
         self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]
         self.late, self.voided, self.tries = ([0.0] * len(self.tables) for _ in range(3))
@@ -482,6 +484,10 @@
 
     def handle(self, note: Any) -> None:
         match note:
+            case notes.ProxyJoined():
+                self.zone_of[note.proxy] = note.zone
+            case notes.ProxyLeft():
+                self.zone_of.pop(note.proxy, None)
             case notes.ProxyTraffic() if note.span_us > 0:
                 key, rate = (note.proxy, note.product), note.arrived * SECOND_US / note.span_us
                 self.rates[key] = (self.rates.get(key, rate) + rate) / 2
@@ -509,11 +515,11 @@
             share = min(1.0, share * self.RISE)
         self.share[place] = share
         self.late[place] = self.voided[place] = self.tries[place] = 0
-        for product in table.products if not self.publisher.crowded() else ():
+        for product in table.products:
             self.set_level(table, product, share)
 
     def set_level(self, table: Table, product: int, share: float) -> None:
-        open_ = level = self.publisher.OPEN[self.unit]
+        open_ = level = Publisher.OPEN[self.unit]
         if share < 1:
             level = share if self.unit is LevelUnit.SHARE else self.rate_for(table, product, share)
         before = self.sent.get((table.number, product), open_)
@@ -523,13 +529,14 @@
 
     def rate_for(self, table: Table, product: int, share: float) -> float:
         """The rate at each proxy by which the share of all comes in: the small ones keep theirs whole."""
-        rates = sorted(self.rates.get((proxy, product), 0.0) for proxy in self.publisher.users(table))
+        rates = sorted(self.rates.get((proxy, product), 0.0) for proxy, zone in self.zone_of.items()
+                       if table.proxy_zone in (None, zone))
         left = share * sum(rates)
         for place, rate in enumerate(rates):
             if (even := left / (len(rates) - place)) <= rate:
                 return max(even, 0.1)
             left -= rate
-        return self.publisher.OPEN[self.unit]
+        return Publisher.OPEN[self.unit]
 
 
 class Slices(Actor):
@@ -570,10 +577,15 @@
 
     def __init__(self, facts: StartFacts, seed: int) -> None:
         self.desk, self.fleet, self.hosts = Desk(seed), Fleet(), list[Host]()
-        self.publisher = Publisher(self.desk, self.fleet, facts)
-        self.balancer = Balancer(self.desk, self.fleet, self.publisher.tables)
-        self.levels = Levels(self.desk, facts, self.publisher)
+        self.publisher = publisher = Publisher(self.desk, self.fleet, facts)
+        self.balancer = Balancer(self.desk, self.fleet, publisher.tables)
+        self.levels = levels = Levels(self.desk, self.fleet, facts, publisher)
         self.slices = Slices(self.desk, self.fleet)
+        self.readers: dict[type, tuple[Actor, ...]] = {
+            notes.ProxyJoined: (publisher, levels), notes.ProxyLeft: (publisher, levels),
+            notes.Applied: (publisher,), notes.ProxyTraffic: (levels,), notes.HostSums: (levels,),
+            notes.SliceCharge: (self.slices,), notes.SliceLine: (self.slices,)}
+        self.ask = orders.Subscribe(True) if facts.must_subscribe else orders.AskList()
         self.must_subscribe, self.started = facts.must_subscribe, False
         self.terms = HostTerms(max(1, facts.cold_us), facts.cold_share, facts.may_probe,
                                facts.reports is ReportWay.PROBES, mean_sla_us(facts))
@@ -582,7 +594,9 @@
         desk, changed = self.desk, False
         desk.now = clock_us
         if not self.started:
-            self.start()
+            self.started = True
+            first = int(Balancer.TURN_US * (0.5 + desk.chance() / 2))  # stewards should not turn in step
+            desk.out += [orders.SetTimer(first, self.TURN)] + [self.ask] * self.must_subscribe
         for note in batch:
             changed = self.route(note) or changed
             desk.run()
@@ -594,35 +608,21 @@
         out, desk.out = desk.out, []
         return out
 
-    def start(self) -> None:
-        self.started = True
-        first = int(Balancer.TURN_US * (0.5 + self.desk.chance() / 2))  # stewards should not turn in step
-        self.desk.out.append(orders.SetTimer(first, self.TURN))
-        if self.must_subscribe:
-            self.desk.out.append(orders.Subscribe(True))
-
     def route(self, note: notes.Note) -> bool:
-        """Hands a note to the part concerned; tells whether tables may have to follow."""
-        desk, index = self.desk, self.fleet.index
+        """Hands a note to the parts concerned; tells whether tables may have to follow."""
         match note:
             case notes.HostList():
                 self.on_list(note)
                 return True
-            case notes.ProxyJoined() | notes.ProxyLeft() | notes.Applied():
-                desk.put(self.publisher, note)
-            case notes.HostSums() | notes.ProbeResult():
-                if note.host in index:
-                    desk.put(self.hosts[index[note.host]], note)
-                    desk.put(self.levels, note)
-                    return isinstance(note, notes.ProbeResult) and note.outcome is not Outcome.ANSWERED
-            case notes.ProxyTraffic():
-                desk.put(self.levels, note)
-            case notes.SliceCharge() | notes.SliceLine():
-                desk.put(self.slices, note)
-                return True
             case notes.TimerDue():
                 return self.on_timer(note.token)
-        return False
+            case notes.HostSums() | notes.ProbeResult():
+                if note.host not in self.fleet.index:
+                    return False
+                self.desk.put(self.hosts[self.fleet.index[note.host]], note)
+        for part in self.readers.get(type(note), ()):
+            self.desk.put(part, note)
+        return isinstance(note, (notes.SliceCharge, notes.SliceLine, notes.ProbeResult))
 
     def on_list(self, listed: notes.HostList) -> None:
         if listed.kind is ListKind.FAILED:
@@ -642,10 +642,9 @@
 
     def on_timer(self, token: int) -> bool:
         if token == self.ASK:
-            self.desk.out.append(orders.Subscribe(True) if self.must_subscribe else orders.AskList())
-        if token != self.TURN:
-            return False
-        self.desk.out.append(orders.SetTimer(Balancer.TURN_US, self.TURN))
-        for part in (*self.hosts, self.balancer, self.levels):
-            self.desk.put(part, Beat.TURN)
-        return True
+            self.desk.out.append(self.ask)
+        elif token == self.TURN:
+            self.desk.out.append(orders.SetTimer(Balancer.TURN_US, self.TURN))
+            for part in (*self.hosts, self.balancer, self.levels):
+                self.desk.put(part, Beat.TURN)
+        return token == self.TURN
