--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -562,7 +562,7 @@
         fleet, playing = self.fleet, self.fleet.playing()
         held = {i: sum(i in lines for lines in self.lines.values()) for i in playing}
         for number, lines in self.lines.items():
-            if playing and lines.isdisjoint(playing):
+            if playing and not any(fleet.state[i] is HostState.READY for i in lines):
                 best = min(playing, key=lambda i: (fleet.cap[i] < NO_CAP, held[i] / fleet.weight[i], i))
                 held[best] += 1
                 self.desk.out.append(orders.SetLine(number, fleet.ids[best], 1.0))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -197,6 +197,9 @@
     bench.give(full(entry(1), entry(2)), notes.ProxyJoined(0, 0, 1.0, True), notes.SliceCharge(0, True),
                notes.SliceCharge(1, True), notes.SliceLine(1, 1, 1.0))
     assert list(bench.lines) == [0]
+    bench.steward.fleet.shut[0] = True
+    bench.pass_time(2 * SECOND)
+    assert list(bench.lines) == [0]  # a suspect keeps its slice: writes may be in its hands
     bench.give(changes(entry(1, DRAINING)), notes.SliceCharge(0, False))
     assert bench.lines[1] == {2: 1.0}
 
