--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -79,7 +79,7 @@
     MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
-    DROWNING = 0.5  # part voided: beyond, most hosts are soon shunned and all txns flock to a new one
+    DROWNING, RESCUE = 0.5, 0.5  # part voided at which most hosts are soon shunned; part of warm powers
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -108,19 +108,20 @@
         self.warm()
 
     def warm(self) -> None:
-        """Cold hosts get the part of their kind's weight that they are sure to bear: no budget comes near.
+        """Cold hosts get the part of their kind's weight that they are sure to bear, less what may rush in.
 
         Guards against a host pushed over as it starts, whoever else sends there. Where tries are voided, more
-        of them come to a weight than hosts can answer, and proxies shun the others and flock to what is left:
-        the part shrinks by both, at last to nothing. Harm: a fast warmer could take more.
+        of them come to a weight than hosts can answer, and proxies shun the others and flock to what is left;
+        many can share that rush, few can not. Harm: a fast warmer could take more.
         """
-        fleet, i = self.fleet, self.place
-        age, share = self.desk.now - self.started_us, self.share
-        if 0 < self.started_us and age < self.terms.cold_us:
-            share = min(share, self.terms.cold_share
-                        + (1 - self.terms.cold_share) * max(0, age) / self.terms.cold_us)
+        fleet, i, share = self.fleet, self.place, self.share
+        if self.started_us and (age := self.desk.now - self.started_us) < self.terms.cold_us:
+            least = self.terms.cold_share
+            share = min(share, least + (1 - least) * max(0, age) / self.terms.cold_us)
         voided = fleet.a_try(fleet.voided)
-        bears = share * (1 - voided) / (1 + self.FLOCK * voided**3) if voided < self.DROWNING else 0.0
+        warm = [fleet.cap[j] == NO_CAP for j, state in enumerate(fleet.state) if state is HostState.READY]
+        drowning = voided > self.DROWNING and share * warm.count(False) < self.RESCUE * warm.count(True)
+        bears = 0.0 if drowning else share * (1 - voided) / (1 + self.FLOCK * voided**3)
         fleet.cap[i] = NO_CAP if share >= 1 else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -154,6 +154,16 @@
     assert 200 not in bench.lines[0] and len(bench.lines[0]) == 6
 
 
+def test_many_cold_hosts_may_share_what_few_may_not():
+    for fresh, taken in ((1, False), (9, True)):
+        bench = ready_bench()
+        feed(bench, 6, voided=lambda host: 6)
+        started_us = bench.now - 9 * SECOND
+        bench.give(changes(*[entry(200 + i, zone=i % 3, started_us=started_us) for i in range(fresh)]))
+        bench.pass_time(SECOND)
+        assert (200 in bench.lines[0]) == taken
+
+
 def test_a_restart_in_place_is_cold_again():
     bench = ready_bench()
     bench.give(changes(entry(100, GONE)))
