Two thirds of the hosts may be shut; suspects serve where the warm ones are half as many

Cause: a steward whose proxies all stand in one zone, with the two others out of reach, might shut 0.4 of the hosts and no more.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -76,7 +76,7 @@
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
     # Probes in a row: two bad ones shut a suspect (one a silent host), two good, later more, let it back.
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32
-    MOST_SHUT = 0.4  # of all hosts: a zone of three with some to spare; the rest has to bear their load
+    MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
     DROWNING, RESCUE = 0.5, 0.5  # part voided at which most hosts are soon shunned; part of warm powers
@@ -314,7 +314,7 @@
         hosts = [i for i in fleet.playing() if self.admits(fleet, i)]
         suspects = [i for i, shut in enumerate(fleet.shut)
                     if shut and fleet.cap[i] and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
-        if sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
+        if 2 * sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
             # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
             hosts += suspects
         weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in hosts}
