A crowded channel leaves no proxy bare; only cold hosts lose their line to drowning

Crowded tables without a warm line are now written in full, and the bound holds for cold hosts alone. Both have a test that fails on the version before.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -111,18 +111,18 @@
         """Cold hosts get the part of their kind's weight that they are sure to bear, less what may rush in.
 
         Guards against a host pushed over as it starts, whoever else sends there. Where tries are voided, more
-        of them come to a weight than hosts can answer, and proxies shun the others and flock to what is left;
-        many can share that rush, few can not. Harm: a fast warmer could take more.
+        come to a weight than hosts can answer, and proxies shun the others and flock to what is left; many
+        can share that rush, few can not. Harm: a fast warmer could take more.
         """
         fleet, i, share = self.fleet, self.place, self.share
-        if self.started_us and (age := self.desk.now - self.started_us) < self.terms.cold_us:
-            least = self.terms.cold_share
-            share = min(share, least + (1 - least) * max(0, age) / self.terms.cold_us)
-        voided = fleet.a_try(fleet.voided)
+        age, least = max(0, self.desk.now - self.started_us), self.terms.cold_share
+        if cold := 0 < self.started_us and age < self.terms.cold_us:
+            share = min(share, least + (1 - least) * age / self.terms.cold_us)
         warm = [fleet.cap[j] == NO_CAP for j, state in enumerate(fleet.state) if state is HostState.READY]
+        voided = fleet.a_try(fleet.voided)
         drowning = voided > self.DROWNING and share * warm.count(False) < self.RESCUE * warm.count(True)
-        bears = 0.0 if drowning else share * (1 - voided) / (1 + self.FLOCK * voided**3)
-        fleet.cap[i] = NO_CAP if share >= 1 else bears * fleet.kin_mean(i)
+        bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
+        fleet.cap[i] = NO_CAP if share >= 1 else 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
         self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / MEMORY_US))
@@ -413,24 +413,24 @@
         return lines + sum(self.charges.values()) > self.allowance or 0 < self.most <= 2 * recent
 
     def publish(self) -> None:
-        """Changed slots only; in a crowded channel (stalls, breaks) only those that shut or cap a host."""
+        """Changed slots only; in a crowded channel those that shut or cap a host, all if none is left."""
         fleet, crowded = self.fleet, self.crowded()
         for table in self.tables:
             slots = table.slots(fleet)
             if not slots:
                 continue  # nobody is open to these products: a line to one that is withdrawn does no harm
             users = self.users(table)
+            waits = crowded and any(i in slots and fleet.cap[i] == NO_CAP for i in table.pushed)
             for i in sorted(slots.keys() | table.pushed.keys()):
                 count, before = slots.get(i, 0), table.pushed.get(i, 0)
-                if count == before or (crowded and count and not (count < before and fleet.cap[i] < NO_CAP)):
+                if count == before or (waits and count and not (count < before and fleet.cap[i] < NO_CAP)):
                     continue
                 self.order(orders.SetLine(table.number, fleet.ids[i], float(count)), users)
                 table.pushed[i] = count
             table.pushed = {i: count for i, count in table.pushed.items() if count}
-        if not crowded:
-            for level in self.levels.values():
-                self.order(level, self.users(self.tables[level.table]))
-            self.levels.clear()
+        while self.levels and not crowded:
+            level = self.levels.pop(next(iter(self.levels)))
+            self.order(level, self.users(self.tables[level.table]))
 
     def uses(self, proxy: int, table: Table) -> bool:
         return table.proxy_zone is None or table.proxy_zone == self.zone_of[proxy]
@@ -588,7 +588,7 @@
             notes.SliceCharge: (self.slices,), notes.SliceLine: (self.slices,)}
         self.ask = orders.Subscribe(True) if facts.must_subscribe else orders.AskList()
         self.must_subscribe, self.started = facts.must_subscribe, False
-        self.terms = HostTerms(max(1, facts.cold_us), facts.cold_share, facts.may_probe,
+        self.terms = HostTerms(facts.cold_us, facts.cold_share, facts.may_probe,
                                facts.reports is ReportWay.PROBES, mean_sla_us(facts))
 
     def deliver(self, clock_us: int, batch: list[notes.Note]) -> list[orders.Order]:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -191,6 +191,24 @@
     assert orders.Withdraw(100, True) in bench.give(changes(entry(100, DRAINING)))
 
 
+def test_a_crowded_channel_leaves_no_proxy_bare():
+    bench = ready_bench(hosts=2, queue_cap=400)
+    bench.rate = 0.0
+    feed(bench, 20, time_ms=lambda host: random.Random(host + bench.now).uniform(50, 900))
+    assert bench.steward.publisher.crowded()
+    bench.give(changes(entry(100, GONE), entry(101, GONE), entry(102)))
+    assert set(bench.picks(0, 0)) == {102}
+
+
+def test_a_warm_host_that_returns_keeps_its_line_while_the_fleet_drowns():
+    bench = ready_bench(hosts=4, products=(product(own_zone=True),))
+    feed(bench, 6, voided=lambda host: 8)
+    bench.steward.hosts[0].share = 0.25
+    bench.give(changes(entry(100)))
+    bench.give(changes(entry(103, GONE)))
+    assert set(bench.picks(0, 0)) == {100}
+
+
 @pytest.mark.parametrize("unit", [LevelUnit.RATE, LevelUnit.SHARE, LevelUnit.NONE])
 def test_levels_fall_under_overload_only_where_heeded(unit):
     bench = ready_bench(level_unit=unit)
