A cold host's kin count while shut, and a kind not known warm takes the least weight

Cause: all warm kin were shut or gone, a mean of 1 stood in for a kind of 0.4, and the cap trebled in a turn (0.14 to 0.41). Told from a flock by the host's own tries, which rose with its slots.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -47,10 +47,11 @@
         return sum(sums[i] for i in ready) / sum(self.tries[i] for i in ready) if ready else 0.0
 
     def kin_mean(self, place: int) -> float:
-        """The usual weight of hosts of this kind: the best guess for one that is not heard yet."""
-        kin = [self.weight[i] for i in self.playing()
-               if self.kind[i] == self.kind[place] and self.cap[i] == NO_CAP and i != place]
-        return sum(kin) / len(kin) if kin else 1.0
+        """The usual weight of its kind, be they shut; of one not known warm the least: it may be small."""
+        ready = [i for i, state in enumerate(self.state) if state is HostState.READY and i != place]
+        warm = [(self.kind[i], self.weight[i]) for i in ready if self.cap[i] == NO_CAP]
+        kin = [weight for kind, weight in warm if kind == self.kind[place]]
+        return sum(kin) / len(kin) if kin else min((weight for _, weight in warm), default=1.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,15 +72,14 @@
 class Host(Actor):
     """One host: its place in the list, whether it is cold, what is heard of it, and its health."""
 
-    # An excess of a quarter over the fleet, and three txns at least, is beyond chance.
-    VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0
+    VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the fleet's part, and in txns: together beyond chance
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
     # Probes in a row: two bad ones shut a suspect (one a silent host), two good, later more, let it back.
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32
     MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
-    DROWNING, RESCUE = 0.5, 0.5  # part voided at which most hosts are soon shunned; part of warm powers
+    DROWNING, RESCUE = 0.5, 1.0  # part voided at which most hosts are soon shunned; part of warm powers
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
