Cold hosts do not take over for a fleet: out while less than half of it is left, caps follow the list

Told from a flock by a voided part of nought. A listed start is now taken at the list's word. Harm: while most of a fleet is gone and the rest cold, txns are declined for up to the stated warm-up rather than risk what starts.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -74,12 +74,11 @@
 
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the fleet's part, and in txns: together beyond chance
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
-    # Probes in a row: two bad ones shut a suspect (one a silent host), two good, later more, let it back.
-    BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32
+    BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32  # in a row, to shut a suspect and to let it back
     MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
-    DROWNING, RESCUE = 0.5, 1.0  # part voided at which most hosts are soon shunned; part of warm powers
+    DROWNING = 0.5  # part voided at which most hosts are soon shunned, and all txns flock to a new one
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -92,13 +91,14 @@
     def handle(self, note: Any) -> None:
         work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
                 notes.ProbeResult: self.on_probe, Beat: self.on_turn}
-        work[type(note)](note)
+        self.warm() if note is Beat.CHANGED else work[type(note)](note)
 
     def on_entry(self, entry: notes.HostEntry) -> None:
         fleet, i = self.fleet, self.place
         restarted = entry.started_us > self.started_us
         fleet.zone[i], fleet.kind[i], fleet.state[i] = entry.zone, entry.kind, entry.state
-        self.started_us = max(self.started_us, entry.started_us)
+        if entry.state is HostState.READY:
+            self.started_us = entry.started_us
         if restarted and entry.state is HostState.READY:
             # A new process: what was heard of the old one, and held against it, no longer counts.
             fleet.fade(i, 0.0)
@@ -120,7 +120,10 @@
             share = min(share, least + (1 - least) * age / self.terms.cold_us)
         warm = [fleet.cap[j] == NO_CAP for j, state in enumerate(fleet.state) if state is HostState.READY]
         voided = fleet.a_try(fleet.voided)
-        drowning = voided > self.DROWNING and share * warm.count(False) < self.RESCUE * warm.count(True)
+        able, rescue = warm.count(True), share * warm.count(False)
+        fleet.most = max(fleet.most, able)
+        drowning = (rescue < max(able, fleet.most / 2)
+                    and (voided > self.DROWNING or able + rescue < fleet.most / 2))
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = NO_CAP if share >= 1 else 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
@@ -213,15 +216,12 @@
     """The design's controller: a leaky PID on fill moves each host's weight."""
 
     TURN_US = SECOND_US
-    # Fill is taken at the present weight, so late reports do not bound the gains as they would raw ones.
-    KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10
+    KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10  # fill is at the present weight: lateness bounds them less
     EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
-    # Surcharges for a slow host, whose txns lie nearer to their SLA time, and for a queue, which would stay
-    # at a load that a host just bears; more of either made queues swing.
+    # For slow hosts, nearer to their SLA time, and for queues, which would stay; more made queues swing.
     SLOWNESS, DRAIN = 0.3, 0.45
-    # Txns that a usual host works on before any waits; with more in hand, what it holds tells what it can do.
-    AT_ONCE = 3.0
+    AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
@@ -417,8 +417,6 @@
         fleet, crowded = self.fleet, self.crowded()
         for table in self.tables:
             slots = table.slots(fleet)
-            if not slots:
-                continue  # nobody is open to these products: a line to one that is withdrawn does no harm
             users = self.users(table)
             waits = crowded and any(i in slots and fleet.cap[i] == NO_CAP for i in table.pushed)
             for i in sorted(slots.keys() | table.pushed.keys()):
@@ -640,6 +638,8 @@
                 self.hosts.append(Host(self.desk, fleet, fleet.add(entry), self.terms))
             for part in (self.hosts[fleet.index[host]], self.publisher):
                 self.desk.put(part, entry)
+        for part in self.hosts:
+            self.desk.put(part, Beat.CHANGED)
 
     def on_timer(self, token: int) -> bool:
         if token == self.ASK:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -170,6 +170,17 @@
         assert bench.lines[0][200] <= small
 
 
+def test_a_few_cold_hosts_do_not_take_over_for_a_whole_fleet():
+    bench = ready_bench(hosts=12)
+    feed(bench, 3)
+    bench.give(changes(entry(200, started_us=bench.now), entry(201, started_us=bench.now)))
+    bench.give(changes(*[entry(100 + i, GONE, zone=i % 3, kind=i % 2) for i in range(12)]))
+    bench.pass_time(2 * SECOND)
+    assert not bench.picks(0, 0)
+    bench.pass_time(15 * SECOND)
+    assert set(bench.picks(0, 0)) == {200, 201}
+
+
 def test_many_cold_hosts_may_share_what_few_may_not():
     for fresh, taken in ((1, False), (12, True)):
         bench = ready_bench()
