--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -77,7 +77,6 @@
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32  # in a row, to shut a suspect and to let it back
     MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
-    LATE, SPARE = 0.6, 0.5  # where answers take that much of the SLA time, half is kept for what rushes in
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
     DROWNING = 0.5  # part voided at which most hosts are soon shunned, and all txns flock to a new one
 
@@ -125,8 +124,7 @@
         fleet.most = max(fleet.most, able)
         drowning = (rescue < max(able, fleet.most / 2)
                     and (voided > self.DROWNING or able + rescue < fleet.most / 2))
-        spare = self.SPARE if fleet.a_try(fleet.time_us) > self.LATE * self.terms.void_us else 1.0
-        bears = max(0.01, spare * share * (1 - voided) / (1 + self.FLOCK * voided**3))
+        bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = NO_CAP if share >= 1 else 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
