--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -78,7 +78,8 @@
     MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # three voided tries in a row, at one in two seconds, shun a host for about five
-    DROWNING = 0.5  # part voided at which most hosts are soon shunned, and all txns flock to a new one
+    # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
+    DROWNING, TIPPING, LATE = 0.5, 0.35, 0.8
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
@@ -114,16 +115,16 @@
         come to a weight than hosts can answer, and proxies shun the others and flock to what is left; many
         can share that rush, few can not. Harm: a fast warmer could take more.
         """
-        fleet, i, share = self.fleet, self.place, self.share
-        age, least = max(0, self.desk.now - self.started_us), self.terms.cold_share
+        fleet, i, share, least = self.fleet, self.place, self.share, self.terms.cold_share
+        age, voided = max(0, self.desk.now - self.started_us), fleet.a_try(fleet.voided)
         if cold := 0 < self.started_us and age < self.terms.cold_us:
             share = min(share, least + (1 - least) * age / self.terms.cold_us)
         warm = [fleet.cap[j] == NO_CAP for j, state in enumerate(fleet.state) if state is HostState.READY]
-        voided = fleet.a_try(fleet.voided)
         able, rescue = warm.count(True), share * warm.count(False)
         fleet.most = max(fleet.most, able)
-        drowning = (rescue < max(able, fleet.most / 2)
-                    and (voided > self.DROWNING or able + rescue < fleet.most / 2))
+        bound = self.TIPPING if fleet.a_try(fleet.time_us) > self.LATE * self.terms.void_us else self.DROWNING
+        half = fleet.most / 2
+        drowning = rescue < max(able, half) and (voided > bound or able + rescue < half)
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = NO_CAP if share >= 1 else 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
@@ -229,7 +230,6 @@
         self.fleet, self.tables, self.turns = fleet, tables, 0
 
     def handle(self, note: Any) -> None:
-        """A turn is the only note that it gets."""
         fleet, playing = self.fleet, self.fleet.playing()
         fills = self.fills(playing)
         if not fills:
@@ -431,7 +431,7 @@
             self.order(level, self.users(self.tables[level.table]))
 
     def uses(self, proxy: int, table: Table) -> bool:
-        return table.proxy_zone is None or table.proxy_zone == self.zone_of[proxy]
+        return table.proxy_zone in (None, self.zone_of[proxy])
 
     def users(self, table: Table) -> list[int]:
         return [proxy for proxy in self.zone_of if proxy in self.bound and self.uses(proxy, table)]
