Clean-up: one scan of ready hosts, one counted weight, one answer to who holds a table

Warm hosts no longer work out the fleet's sums each turn only to throw them away, a host's note table is built once, and Levels sums up nothing where nobody heeds them (those sums grew for ever).

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -36,20 +36,24 @@
 class Fleet(Figures):
     """The host figures, and what is judged from them for all hosts at once."""
 
+    def ready(self) -> list[int]:
+        return [i for i, state in enumerate(self.state) if state is HostState.READY]
+
     def playing(self) -> list[int]:
         """Hosts that may be sent txns."""
-        return [i for i, state in enumerate(self.state)
-                if state is HostState.READY and not self.shut[i] and self.cap[i] > 0]
+        return [i for i in self.ready() if not self.shut[i] and self.cap[i] > 0]
+
+    def counted(self, place: int) -> float:
+        return min(self.weight[place], self.cap[place])
 
     def a_try(self, sums: list[float]) -> float:
         """Such a sum's part in a try, over all hosts listed ready."""
-        ready = [i for i, state in enumerate(self.state) if state is HostState.READY and self.tries[i] > 0]
-        return sum(sums[i] for i in ready) / sum(self.tries[i] for i in ready) if ready else 0.0
+        tried = [i for i in self.ready() if self.tries[i] > 0]
+        return sum(sums[i] for i in tried) / sum(self.tries[i] for i in tried) if tried else 0.0
 
     def kin_mean(self, place: int) -> float:
         """The usual weight of its kind, be they shut; of one not known warm the least: it may be small."""
-        ready = [i for i, state in enumerate(self.state) if state is HostState.READY and i != place]
-        warm = [(self.kind[i], self.weight[i]) for i in ready if self.cap[i] == NO_CAP]
+        warm = [(self.kind[i], self.weight[i]) for i in self.ready() if self.cap[i] == NO_CAP and i != place]
         kin = [weight for kind, weight in warm if kind == self.kind[place]]
         return sum(kin) / len(kin) if kin else min((weight for _, weight in warm), default=1.0)
 
@@ -65,8 +69,7 @@
     void_us: float  # a voided txn counts as one that took this long
 
 
-# Half-life of sums: older ones say little of now, and the noise of two or three reports averages out.
-MEMORY_US = 3 * SECOND_US
+MEMORY_US = 3 * SECOND_US  # half-life of sums: older say little, and the noise of two or three averages out
 
 
 class Host(Actor):
@@ -84,28 +87,26 @@
     def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
         super().__init__(desk)
         self.fleet, self.place, self.terms = fleet, place, terms
-        self.started_us = 0
+        self.started_us, self.share = 0, 1.0
         self.faded_us = self.shut_us = fleet.heard_us[place] = desk.now
         self.good_probes, self.bad_probes, self.needed = 0, 0, self.GOOD_PROBES
-        self.share = 1.0
+        self.work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
+                     notes.ProbeResult: self.on_probe, Beat: self.on_turn}
 
     def handle(self, note: Any) -> None:
-        work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
-                notes.ProbeResult: self.on_probe, Beat: self.on_turn}
-        self.warm() if note is Beat.CHANGED else work[type(note)](note)
+        self.warm() if note is Beat.CHANGED else self.work[type(note)](note)
 
     def on_entry(self, entry: notes.HostEntry) -> None:
         fleet, i = self.fleet, self.place
-        restarted = entry.started_us > self.started_us
         fleet.zone[i], fleet.kind[i], fleet.state[i] = entry.zone, entry.kind, entry.state
         if entry.state is HostState.READY:
-            self.started_us = entry.started_us
-        if restarted and entry.state is HostState.READY:
-            # A new process: what was heard of the old one, and held against it, no longer counts.
-            fleet.fade(i, 0.0)
-            fleet.error[i], fleet.integral[i], fleet.shut[i] = None, 0.0, False
-            self.share, self.needed, fleet.heard_us[i] = 1.0, self.GOOD_PROBES, self.desk.now
-            fleet.weight[i] = fleet.kin_mean(i)
+            restarted, self.started_us = entry.started_us > self.started_us, entry.started_us
+            if restarted:
+                # A new process: what was heard of the old one, and held against it, no longer counts.
+                fleet.fade(i, 0.0)
+                fleet.error[i], fleet.integral[i], fleet.shut[i] = None, 0.0, False
+                self.share, self.needed, fleet.heard_us[i] = 1.0, self.GOOD_PROBES, self.desk.now
+                fleet.weight[i] = fleet.kin_mean(i)
         self.warm()
 
     def warm(self) -> None:
@@ -116,17 +117,21 @@
         can share that rush, few can not. Harm: a fast warmer could take more.
         """
         fleet, i, share, least = self.fleet, self.place, self.share, self.terms.cold_share
-        age, voided = max(0, self.desk.now - self.started_us), fleet.a_try(fleet.voided)
+        age = max(0, self.desk.now - self.started_us)
         if cold := 0 < self.started_us and age < self.terms.cold_us:
             share = min(share, least + (1 - least) * age / self.terms.cold_us)
-        warm = [fleet.cap[j] == NO_CAP for j, state in enumerate(fleet.state) if state is HostState.READY]
+        warm = [fleet.cap[j] == NO_CAP for j in fleet.ready()]
         able, rescue = warm.count(True), share * warm.count(False)
         fleet.most = max(fleet.most, able)
+        if share >= 1:
+            fleet.cap[i] = NO_CAP
+            return
+        voided = fleet.a_try(fleet.voided)
         bound = self.TIPPING if fleet.a_try(fleet.time_us) > self.LATE * self.terms.void_us else self.DROWNING
         half = fleet.most / 2
         drowning = rescue < max(able, half) and (voided > bound or able + rescue < half)
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
-        fleet.cap[i] = NO_CAP if share >= 1 else 0.0 if cold and drowning else bears * fleet.kin_mean(i)
+        fleet.cap[i] = 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
         self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / MEMORY_US))
@@ -190,14 +195,14 @@
         if not others:
             return False
         tries = sum(fleet.tries[j] for j in others) / sum(fleet.weight[j] for j in others)
-        per_us = tries * min(fleet.weight[i], fleet.cap[i]) * 0.693 / MEMORY_US
+        per_us = tries * fleet.counted(i) * 0.693 / MEMORY_US
         last_us = sorted(fleet.heard_us[j] for j in others)[len(others) // 2]
         return (last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
     def spared(self) -> bool:
         """The rest can do without it."""
-        ready = [shut for shut, state in zip(self.fleet.shut, self.fleet.state) if state is HostState.READY]
-        return sum(ready) + 1 <= self.MOST_SHUT * len(ready)
+        ready = self.fleet.ready()
+        return sum(self.fleet.shut[i] for i in ready) + 1 <= self.MOST_SHUT * len(ready)
 
     def consider_return(self) -> None:
         """After good probes in a row; where none may be sent, after as many turns."""
@@ -220,8 +225,7 @@
     KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10  # fill is at the present weight: lateness bounds them less
     EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
-    # For slow hosts, nearer to their SLA time, and for queues, which would stay; more made queues swing.
-    SLOWNESS, DRAIN = 0.3, 0.45
+    SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
 
@@ -276,10 +280,9 @@
         """Txns a weight and time: by what hosts hold from all proxies, so stewards do not part ways."""
         fleet, told = self.fleet, [i for i in hosts if held.get(i, 0.0) > 0]
         if told:
-            weights = sum(min(fleet.weight[i], fleet.cap[i]) * times[i] for i in told)
-            return sum(held[i] for i in told) / weights
+            return sum(held[i] for i in told) / sum(fleet.counted(i) * times[i] for i in told)
         tries = max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US  # no reports: this steward's alone
-        return tries / sum(min(fleet.weight[i], fleet.cap[i]) for i in hosts)
+        return tries / sum(fleet.counted(i) for i in hosts)
 
     def times(self, playing: list[int]) -> dict[int, float]:
         """Each host's mean time, shrunk to its kind's; none for kinds that are not heard."""
@@ -309,15 +312,17 @@
         return ((self.zones is None or fleet.zone[place] in self.zones)
                 and (self.kinds is None or fleet.kind[place] in self.kinds))
 
+    def held_in(self, proxy_zone: int) -> bool:
+        return self.proxy_zone in (None, proxy_zone)
+
     def slots(self, fleet: Fleet) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         hosts = [i for i in fleet.playing() if self.admits(fleet, i)]
-        suspects = [i for i, shut in enumerate(fleet.shut)
-                    if shut and fleet.cap[i] and fleet.state[i] is HostState.READY and self.admits(fleet, i)]
+        suspects = [i for i in fleet.ready() if fleet.shut[i] and fleet.cap[i] and self.admits(fleet, i)]
         if 2 * sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
             # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
             hosts += suspects
-        weights = {i: min(fleet.weight[i], fleet.cap[i]) for i in hosts}
+        weights = {i: fleet.counted(i) for i in hosts}
         total, sum_w = self.SLOTS_A_HOST * len(weights), sum(weights.values())
         exact = {i: weight * total / sum_w for i, weight in weights.items()}
         slots = {i: int(value) for i, value in exact.items()}
@@ -430,19 +435,15 @@
             level = self.levels.pop(next(iter(self.levels)))
             self.order(level, self.users(self.tables[level.table]))
 
-    def uses(self, proxy: int, table: Table) -> bool:
-        return table.proxy_zone in (None, self.zone_of[proxy])
-
     def users(self, table: Table) -> list[int]:
-        return [proxy for proxy in self.zone_of if proxy in self.bound and self.uses(proxy, table)]
+        return [proxy for proxy, zone in self.zone_of.items() if proxy in self.bound and table.held_in(zone)]
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines."""
-        waiting = self.zone_of.keys() - self.bound
-        for proxy in sorted(waiting) if any(table.pushed for table in self.tables) else ():
+        for proxy in sorted(self.zone_of.keys() - self.bound) if any(t.pushed for t in self.tables) else ():
             self.bound.add(proxy)
             for table in self.tables:
-                if self.uses(proxy, table):
+                if table.held_in(self.zone_of[proxy]):
                     products = tuple(table.products) if len(self.tables) > 1 else None
                     lines = 1 + len(table.pushed) + 2 * len(table.products) + len(self.withdrawn)
                     self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
@@ -473,8 +474,9 @@
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts, publisher: Publisher) -> None:
         super().__init__(desk)
-        self.fleet, self.tables, self.publisher = fleet, publisher.tables, publisher
-        self.unit, self.sla_us, self.zone_of = facts.level_unit, mean_sla_us(facts), dict[int, int]()
+        self.fleet, self.publisher, self.unit = fleet, publisher, facts.level_unit
+        self.tables = publisher.tables if self.unit is not LevelUnit.NONE else []  # nobody heeds any
+        self.sla_us, self.zone_of = mean_sla_us(facts), dict[int, int]()
         self.share = [1.0] * len(self.tables)
         self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]
         self.late, self.voided, self.tries = ([0.0] * len(self.tables) for _ in range(3))
@@ -494,11 +496,11 @@
                 host = self.fleet.index[note.host]
                 for place, table in enumerate(self.tables):
                     # By what its own proxies met: a zone behind a cut may serve its own all the same.
-                    if table.proxy_zone in (None, note.zone) and table.admits(self.fleet, host):
+                    if table.held_in(note.zone) and table.admits(self.fleet, host):
                         self.tries[place] += note.tries
                         self.voided[place] += note.voided
                         self.late[place] += (note.tries - note.voided) * note.mean_us / self.sla_us
-            case Beat.TURN if self.unit is not LevelUnit.NONE:
+            case Beat.TURN:
                 for place, table in enumerate(self.tables):
                     self.follow(place, table)
 
@@ -529,7 +531,7 @@
     def rate_for(self, table: Table, product: int, share: float) -> float:
         """The rate at each proxy by which the share of all comes in: the small ones keep theirs whole."""
         rates = sorted(self.rates.get((proxy, product), 0.0) for proxy, zone in self.zone_of.items()
-                       if table.proxy_zone in (None, zone))
+                       if table.held_in(zone))
         left = share * sum(rates)
         for place, rate in enumerate(rates):
             if (even := left / (len(rates) - place)) <= rate:
--- a/tests/model.py
+++ b/tests/model.py
@@ -95,6 +95,9 @@
         self.bound = {key: table for key, table in self.bound.items() if key[0] != proxy}
         self.queue = [item for item in self.queue if item[0] != proxy]
 
+    def users(self, table: int | None) -> set[int]:
+        return {proxy for (proxy, _), number in self.bound.items() if number == table}
+
     def obey(self, out: list[orders.Order]) -> None:
         """The orders' standing effect at once, their lines through the channel."""
         cost: dict[int, int] = {}
@@ -111,7 +114,7 @@
                     held[host] = weight
                     if not weight:
                         del held[host]
-                    users = {proxy for (proxy, _), number in self.bound.items() if number == table}
+                    users = self.users(table)
                 case orders.Withdraw(host, out_):
                     assert host in self.hosts
                     (self.withdrawn.add if out_ else self.withdrawn.discard)(host)
@@ -119,7 +122,7 @@
                 case orders.SetLevel(table, _, level, retry):
                     assert level >= 0 and retry <= orders.Retry.UNRUN
                     self.levels.append(order)
-                    users = {proxy for (proxy, _), number in self.bound.items() if number == table}
+                    users = self.users(table)
                 case orders.Bind(table, proxy, products):
                     assert proxy in self.since and not self.facts.slices
                     if proxy not in self.joined:
