--- /dev/null
+++ b/plankroute/channel.py
@@ -0,0 +1,37 @@
+"""Lines that wait in a steward's channel, as far as answers tell; bookkeeping only, no decision."""
+
+
+class Channel:
+    """Messages leave one behind another, so an answer to a mark tells of all written before it."""
+
+    def __init__(self, head_lines: int) -> None:
+        self.head, self.serial, self.waiting = head_lines + 1, 0, 0  # each message has a mark's line too
+        self.sent: dict[int, dict[int, int]] = {}  # by mark, the oldest first: lines to each proxy
+        self.batch: dict[int, int] = {}  # lines of this batch's message to each proxy
+
+    def charge(self, proxy: int, lines: int) -> None:
+        before = self.batch.get(proxy, 0)
+        self.batch[proxy] = before + lines
+        self.waiting += lines if before else lines + self.head
+
+    def close(self) -> int | None:
+        """The mark that this batch is to carry, if it writes to any proxy."""
+        if not self.batch:
+            return None
+        self.serial = self.serial % 65535 + 1
+        self.waiting -= sum(self.sent.pop(self.serial, {}).values())
+        self.sent[self.serial] = {proxy: lines + self.head for proxy, lines in self.batch.items()}
+        self.batch = {}
+        return self.serial
+
+    def answered(self, proxy: int, serial: int) -> None:
+        if serial in self.sent:
+            while (first := next(iter(self.sent))) != serial:
+                self.waiting -= sum(self.sent.pop(first).values())
+            self.waiting -= self.sent[serial].pop(proxy, 0)
+
+    def left(self, proxy: int) -> None:
+        for lines in self.sent.values():
+            self.waiting -= lines.pop(proxy, 0)
+        if proxy in self.batch:
+            self.waiting -= self.batch.pop(proxy) + self.head
--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -1,28 +1,28 @@
-"""All decisions of a steward: Steward(facts, seed), then deliver(clock_us, notes) -> orders, once a batch.
+"""All decisions of a steward. Its door, steward.py: Steward(facts, seed).deliver(clock_us, notes) -> orders.
 
 Facts, notes and orders are the types in plankroute/interface; actors.py holds the loop, figures.py the hosts'
-arrays. The design (docs/design.md) sets the ordinary tables: a leaky PID on fill moves each host's weight
-every turn; weights become integer slots of one shared table, and only changed slots are pushed. Beside it:
+arrays, channel.py the channel's books. The design (docs/design.md) sets the ordinary tables: a leaky PID on
+fill moves each host's weight every turn; weights become integer slots of one shared table, and only changed
+slots are pushed. Beside it:
 1. Cold hosts: a host just started, or let back in, is capped and rises as it warms.
 2. Health: a host that voids its txns or is silent is probed, shut out, and let back by degrees.
 3. Drains: hosts that drain or are gone are withdrawn before all else.
-4. Channel: lines count as waiting until a proxy has applied them; ordinary ones wait while many do.
+4. Channel: what a message may hold follows from what still waits; the slots that move most go first.
 5. Levels: where they are heeded, txns are declined early while answers come too late.
-6. Slices: where keys fall into slices, each slice in charge keeps one open host.
 """
 
 from collections import deque
-from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
 from enum import Enum
-from itertools import groupby
-from typing import Any
+from typing import Any, ClassVar, NamedTuple
 
 from plankroute.actors import Actor, Desk
-from plankroute.figures import NO_CAP, Figures
+from plankroute.channel import Channel
+from plankroute.figures import NO_CAP, Figures, grouped
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import LevelUnit, ReportWay, StartFacts
-from plankroute.interface.notes import HostState, ListKind, Outcome
+from plankroute.interface.notes import HostState, Outcome
 
 SECOND_US = 1_000_000
 
@@ -34,7 +34,17 @@
 
 
 class Fleet(Figures):
-    """The host figures, and what is judged from them for all hosts at once."""
+    """The host figures, and what is judged from them for all hosts at once: looked at once a turn or list."""
+
+    def __init__(self, facts: StartFacts) -> None:
+        super().__init__()
+        self.cold_us, self.cold_share, self.may_probe = facts.cold_us, facts.cold_share, facts.may_probe
+        self.probe_always = facts.may_probe and facts.reports is ReportWay.PROBES  # reports come no other way
+        sla_us = [product.sla_us for product in facts.products]
+        self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
+        self.voided_part = self.time_part = self.tries_a_weight = 0.0  # over all hosts listed ready
+        self.able = self.entering = self.last_us = 0
+        self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
     def ready(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state is HostState.READY]
@@ -46,27 +56,23 @@
     def counted(self, place: int) -> float:
         return min(self.weight[place], self.cap[place])
 
-    def a_try(self, sums: list[float]) -> float:
-        """Such a sum's part in a try, over all hosts listed ready."""
-        tried = [i for i in self.ready() if self.tries[i] > 0]
-        return sum(sums[i] for i in tried) / sum(self.tries[i] for i in tried) if tried else 0.0
+    def look(self) -> None:
+        ready, heard = self.ready(), [i for i in self.playing() if self.tries[i] > 0]
+        tries = sum(self.tries[i] for i in ready) or 1.0
+        self.voided_part = sum(self.voided[i] for i in ready) / tries
+        self.time_part = sum(self.time_us[i] for i in ready) / tries
+        self.tries_a_weight = sum(self.tries[i] for i in heard) / (sum(self.weight[i] for i in heard) or 1.0)
+        self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) // 2] if heard else 0
+        warm = [i for i in ready if self.cap[i] == NO_CAP]
+        self.able, self.entering = len(warm), len(ready) - len(warm)
+        self.most = max(self.most, self.able)
+        self.kin = {}
+        for kin in grouped(warm, lambda i: self.kind[i]):
+            self.kin[self.kind[kin[0]]] = sum(self.weight[i] for i in kin) / len(kin)
 
     def kin_mean(self, place: int) -> float:
-        """The usual weight of its kind, be they shut; of one not known warm the least: it may be small."""
-        warm = [(self.kind[i], self.weight[i]) for i in self.ready() if self.cap[i] == NO_CAP and i != place]
-        kin = [weight for kind, weight in warm if kind == self.kind[place]]
-        return sum(kin) / len(kin) if kin else min((weight for _, weight in warm), default=1.0)
-
-
-@dataclass(frozen=True, slots=True)
-class HostTerms:
-    """What every host is judged by, derived from the start facts."""
-
-    cold_us: int
-    cold_share: float
-    may_probe: bool
-    probe_always: bool  # load reports come no other way
-    void_us: float  # a voided txn counts as one that took this long
+        """The usual weight of its kind; of one not known warm the least: it may be small."""
+        return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
 
 MEMORY_US = 3 * SECOND_US  # half-life of sums: older say little, and the noise of two or three averages out
@@ -75,6 +81,7 @@
 class Host(Actor):
     """One host: its place in the list, whether it is cold, what is heard of it, and its health."""
 
+    ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the fleet's part, and in txns: together beyond chance
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32  # in a row, to shut a suspect and to let it back
@@ -84,10 +91,9 @@
     # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
     DROWNING, TIPPING, LATE = 0.5, 0.35, 0.8
 
-    def __init__(self, desk: Desk, fleet: Fleet, place: int, terms: HostTerms) -> None:
+    def __init__(self, desk: Desk, fleet: Fleet, place: int) -> None:
         super().__init__(desk)
-        self.fleet, self.place, self.terms = fleet, place, terms
-        self.started_us, self.share = 0, 1.0
+        self.fleet, self.place, self.started_us, self.share = fleet, place, 0, 1.0
         self.faded_us = self.shut_us = fleet.heard_us[place] = desk.now
         self.good_probes, self.bad_probes, self.needed = 0, 0, self.GOOD_PROBES
         self.work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
@@ -106,7 +112,7 @@
                 fleet.fade(i, 0.0)
                 fleet.error[i], fleet.integral[i], fleet.shut[i] = None, 0.0, False
                 self.share, self.needed, fleet.heard_us[i] = 1.0, self.GOOD_PROBES, self.desk.now
-                fleet.weight[i] = fleet.kin_mean(i)
+                fleet.weight[i] = fleet.kin_mean(i) if fleet.kin else fleet.weight[i]
         self.warm()
 
     def warm(self) -> None:
@@ -116,20 +122,16 @@
         come to a weight than hosts can answer, and proxies shun the others and flock to what is left; many
         can share that rush, few can not. Harm: a fast warmer could take more.
         """
-        fleet, i, share, least = self.fleet, self.place, self.share, self.terms.cold_share
+        fleet, i, share = self.fleet, self.place, self.share
         age = max(0, self.desk.now - self.started_us)
-        if cold := 0 < self.started_us and age < self.terms.cold_us:
-            share = min(share, least + (1 - least) * age / self.terms.cold_us)
-        warm = [fleet.cap[j] == NO_CAP for j in fleet.ready()]
-        able, rescue = warm.count(True), share * warm.count(False)
-        fleet.most = max(fleet.most, able)
+        if cold := 0 < self.started_us and age < fleet.cold_us:
+            share = min(share, fleet.cold_share + (1 - fleet.cold_share) * age / fleet.cold_us)
         if share >= 1:
             fleet.cap[i] = NO_CAP
             return
-        voided = fleet.a_try(fleet.voided)
-        bound = self.TIPPING if fleet.a_try(fleet.time_us) > self.LATE * self.terms.void_us else self.DROWNING
-        half = fleet.most / 2
-        drowning = rescue < max(able, half) and (voided > bound or able + rescue < half)
+        voided, half, rescue = fleet.voided_part, fleet.most / 2, share * fleet.entering
+        bound = self.TIPPING if fleet.time_part > self.LATE * fleet.sla_us else self.DROWNING
+        drowning = rescue < max(fleet.able, half) and (voided > bound or fleet.able + rescue < half)
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
@@ -145,7 +147,7 @@
         good = sums.tries - voided if sums.mean_us > 0 else 0
         fleet.tries[i] += good + voided
         fleet.voided[i] += voided
-        fleet.time_us[i] += good * sums.mean_us + voided * self.terms.void_us
+        fleet.time_us[i] += good * sums.mean_us + voided * fleet.sla_us
         self.on_report(sums.report)
 
     def on_report(self, report: notes.LoadReport | None) -> None:
@@ -163,8 +165,10 @@
 
     def consider_shutting(self) -> None:
         enough = self.bad_probes >= (1 if self.silent() else self.BAD_PROBES)
-        if self.place in self.fleet.playing() and enough and self.suspect() and self.spared():
-            self.fleet.shut[self.place], self.shut_us = True, self.desk.now
+        fleet, i = self.fleet, self.place
+        sendable = fleet.state[i] is HostState.READY and not fleet.shut[i] and fleet.cap[i] > 0
+        if enough and sendable and self.suspect() and self.spared():
+            fleet.shut[i], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Beat) -> None:
         fleet, i = self.fleet, self.place
@@ -176,28 +180,23 @@
             self.consider_return()
         else:
             self.share = min(1.0, self.share * self.RISE)
-            if not suspect and not self.terms.probe_always:
+            if not suspect and not fleet.probe_always:
                 self.bad_probes = 0
         self.warm()
-        if self.terms.may_probe and (self.terms.probe_always or suspect or fleet.shut[i]):
+        if fleet.probe_always or (fleet.may_probe and (suspect or fleet.shut[i])):
             self.desk.out.append(orders.Probe(fleet.ids[i]))
 
     def suspect(self) -> bool:
         """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
         fleet, i = self.fleet, self.place
-        excess = fleet.voided[i] - (fleet.a_try(fleet.voided) + self.VOIDED_EXCESS) * fleet.tries[i]
+        excess = fleet.voided[i] - (fleet.voided_part + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
     def silent(self) -> bool:
         """No word for a time in which most others spoke and a host of its weight is tried often."""
         fleet, i = self.fleet, self.place
-        others = [j for j in fleet.playing() if j != i and fleet.tries[j] > 0]
-        if not others:
-            return False
-        tries = sum(fleet.tries[j] for j in others) / sum(fleet.weight[j] for j in others)
-        per_us = tries * fleet.counted(i) * 0.693 / MEMORY_US
-        last_us = sorted(fleet.heard_us[j] for j in others)[len(others) // 2]
-        return (last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
+        per_us = fleet.tries_a_weight * fleet.counted(i) * 0.693 / MEMORY_US
+        return (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
     def spared(self) -> bool:
         """The rest can do without it."""
@@ -208,16 +207,12 @@
         """After good probes in a row; where none may be sent, after as many turns."""
         fleet, i = self.fleet, self.place
         waited = self.desk.now - self.shut_us > self.needed * SECOND_US
-        if self.good_probes >= self.needed or (waited and not self.terms.may_probe):
+        if self.good_probes >= self.needed or (waited and not fleet.may_probe):
             fleet.shut[i], self.share, fleet.heard_us[i] = False, self.ENTRY, self.desk.now
             fleet.fade(i, 0.0)
             self.needed = min(self.MOST_PROBES, self.needed * 2)
 
 
-def grouped(hosts: Iterable[int], key: Callable[[int], Any]) -> list[list[int]]:
-    return [list(group) for _, group in groupby(sorted(hosts, key=key), key)]
-
-
 class Balancer(Actor):
     """The design's controller: a leaky PID on fill moves each host's weight."""
 
@@ -225,6 +220,7 @@
     KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10  # fill is at the present weight: lateness bounds them less
     EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
+    LEAD = 0.3
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
@@ -232,6 +228,7 @@
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
         super().__init__(desk)
         self.fleet, self.tables, self.turns = fleet, tables, 0
+        self.first_us = int(self.TURN_US * (0.5 + desk.chance() / 2))  # stewards should not turn in step
 
     def handle(self, note: Any) -> None:
         fleet, playing = self.fleet, self.fleet.playing()
@@ -251,7 +248,12 @@
                 change = error - before if before is not None else 0.0
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
-            fleet.weight[i] = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
+            weight = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
+            if fleet.standing[i] and fleet.cap[i] == NO_CAP:
+                # Guards against a weight that runs on while its slot waits: news are of the slot.
+                lead = 1 + self.LEAD * eager
+                weight = min(max(weight, fleet.standing[i] / lead), fleet.standing[i] * lead)
+            fleet.weight[i] = weight
         scale = len(playing) / sum(fleet.weight[i] for i in playing)
         for i in playing:
             fleet.weight[i] *= scale
@@ -297,16 +299,17 @@
         return times
 
 
+@dataclass(eq=False, slots=True)
 class Table:
-    """Slots of the hosts that some products may use, as last pushed; proxy_zone None: for every proxy."""
+    """Slots of the hosts that some products may use, as last pushed; None: no limit, or for every proxy."""
 
-    SLOTS_A_HOST = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
-
-    def __init__(self, number: int, zones: frozenset[int] | None, kinds: frozenset[int] | None,
-                 proxy_zone: int | None) -> None:
-        self.number, self.zones, self.kinds, self.proxy_zone = number, zones, kinds, proxy_zone
-        self.products: list[int] = []
-        self.pushed: dict[int, int] = {}
+    SLOTS_A_HOST: ClassVar[int] = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
+    number: int
+    zones: tuple[int, ...] | None
+    kinds: tuple[int, ...] | None
+    proxy_zone: int | None
+    products: list[int] = field(default_factory=list)
+    pushed: dict[int, int] = field(default_factory=dict)
 
     def admits(self, fleet: Fleet, place: int) -> bool:
         return ((self.zones is None or fleet.zone[place] in self.zones)
@@ -315,18 +318,27 @@
     def held_in(self, proxy_zone: int) -> bool:
         return self.proxy_zone in (None, proxy_zone)
 
-    def slots(self, fleet: Fleet) -> dict[int, int]:
-        """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
-        hosts = [i for i in fleet.playing() if self.admits(fleet, i)]
-        suspects = [i for i in fleet.ready() if fleet.shut[i] and fleet.cap[i] and self.admits(fleet, i)]
+    def slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
+        """Floor of each share, the missing ones to the largest remainders; each open host keeps one.
+
+        The hosts that stay keep their slots together, so that one that comes or goes moves no other's.
+        """
+        able = [i for i in fleet.ready() if fleet.cap[i] and i not in out and self.admits(fleet, i)]
+        hosts, suspects = [i for i in able if not fleet.shut[i]], [i for i in able if fleet.shut[i]]
         if 2 * sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
             # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
             hosts += suspects
         weights = {i: fleet.counted(i) for i in hosts}
-        total, sum_w = self.SLOTS_A_HOST * len(weights), sum(weights.values())
-        exact = {i: weight * total / sum_w for i, weight in weights.items()}
+        stay = [i for i in hosts if i in self.pushed and fleet.cap[i] == NO_CAP]
+        scale = sum(self.pushed[i] for i in stay) / sum(weights[i] for i in stay) if stay else 0.0
+        usual = self.SLOTS_A_HOST * len(hosts) / sum(weights.values()) if hosts else 0.0
+        if not usual / 2 < scale < 2 * usual:
+            scale = usual
+        exact = {i: weight * scale for i, weight in weights.items()}
+        for i in self.pushed.keys() & exact.keys():
+            fleet.standing[i] = self.pushed[i] / scale
         slots = {i: int(value) for i, value in exact.items()}
-        missing = total - sum(slots.values())
+        missing = round(sum(exact.values())) - sum(slots.values())
         for i in sorted(slots, key=lambda i: (slots[i] - exact[i], i))[:missing]:
             slots[i] += 1
         return {i: max(1, count) for i, count in slots.items()}
@@ -336,38 +348,52 @@
     """One shared table; a further one only for products that may not use every host."""
     tables: dict[tuple[Any, ...], Table] = {}
     for place, product in enumerate(facts.products):
-        kinds = None if product.kinds is None else frozenset(product.kinds)
-        zones = None if product.zones is None else frozenset(product.zones)
-        for proxy_zone in range(facts.zones) if product.own_zone else (None,):
-            open_to = zones if proxy_zone is None else frozenset((proxy_zone,)) & (zones or {proxy_zone})
-            key = (open_to, kinds, proxy_zone)
+        for zone in range(facts.zones) if product.own_zone else (None,):
+            open_to = product.zones if zone is None else (zone,) if zone in (product.zones or (zone,)) else ()
+            key = (open_to, product.kinds, zone)
             tables.setdefault(key, Table(len(tables), *key)).products.append(place)
     return list(tables.values())
 
 
-def mean_sla_us(facts: StartFacts) -> float:
-    return max(1.0, sum(product.sla_us for product in facts.products) / max(1, len(facts.products)))
+class Change(NamedTuple):
+    """A slot that differs from the one pushed."""
+
+    worth: float  # the part of a proxy's txns that it moves
+    urgent: bool
+    table: Table
+    host: int
+    count: int
 
 
 class Publisher(Actor):
-    """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
+    """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take.
+
+    A line is paid at every proxy, and so is a message's head: where proxies are many, messages are full, hold
+    the slots that move most, and leave out those not worth their price; newer slots replace what was put off.
+    """
 
-    ORDINARY_PART = 0.35  # of the limit may be unanswered; what the rules demand has the rest
+    PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
+    ORDINARY_PART = 0.5  # of the limit may be in the queue; what the rules demand has the rest
+    URGENT_HEADS = 0.5  # of the channel's pace at most goes into the heads of what the rules demand
+    WORTH_US = 3 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
+    FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
         super().__init__(desk)
-        self.fleet, self.serial = fleet, 0
-        self.head, self.allowance = facts.head_lines, self.ORDINARY_PART * facts.queue_cap
-        self.tables = [] if facts.slices else tables_for(facts)
-        self.most, self.window_us = facts.messages_most, facts.messages_window_us
-        self.sent_us: dict[int, deque[int]] = {}  # when each proxy was written to, where that is limited
-        self.zone_of: dict[int, int] = {}  # of joined proxies
-        self.bound, self.withdrawn = set[int](), set[int]()
-        self.unanswered: dict[int, deque[tuple[int, int]]] = {}
-        self.charges: dict[int, int] = {}  # lines of this batch's message to each proxy
+        self.fleet, self.channel, self.limit = fleet, Channel(facts.head_lines), facts.queue_cap
+        self.us_a_line, self.most_gap_us = SECOND_US / max(1.0, facts.lines_per_s), facts.grace_us / 3
+        self.line_price = (facts.prices.order * facts.proxies * self.us_a_line
+                           / (self.WORTH_US * max(1, facts.stewards)))
+        most = facts.messages_most
+        self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
+        self.written_us = -facts.messages_window_us
+        self.tables = [] if facts.slices else tables_for(facts)  # the store keeps the tables of slices
+        self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
+        self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
+        self.withdrawn, self.due = set[int](), set[int]()  # hosts; those whose withdrawal is to be written
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
@@ -375,90 +401,138 @@
     def handle(self, note: Any) -> None:
         match note:
             case notes.HostEntry():
-                self.withdraw(note)
+                i = self.fleet.index[note.host]
+                if self.fleet.state[i] is HostState.READY:
+                    self.due.discard(i)
+                elif i not in self.withdrawn:
+                    self.due.add(i)
             case notes.ProxyJoined():
                 self.on_left(note.proxy)
-                self.zone_of[note.proxy], self.unanswered[note.proxy] = note.zone, deque()
-                self.sent_us[note.proxy] = deque(maxlen=self.most)
-                self.bind_waiting()
+                self.zone_of[note.proxy] = note.zone
+                self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
+                self.due |= self.withdrawn  # what was ordered before did not reach it
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
             case notes.Applied():
-                waiting = self.unanswered.get(note.proxy, deque())
-                while waiting and waiting[0][0] <= note.serial:
-                    waiting.popleft()
+                self.channel.answered(note.proxy, note.serial)
             case orders.SetLevel():
                 self.levels[note.table, note.products] = note
-            case Beat.CHANGED:
-                self.publish()
+            case Beat():
+                self.lift()
+                self.write(note is Beat.TURN)
                 self.bind_waiting()
 
     def on_left(self, proxy: int) -> None:
         self.bound.discard(proxy)
-        for known in (self.zone_of, self.unanswered, self.charges, self.sent_us):
-            known.pop(proxy, None)
+        self.channel.left(proxy)
+        self.zone_of.pop(proxy, None)
+        self.unbound.pop(proxy, None)
 
-    def order(self, order: orders.Order, proxies: list[int], lines: int = 1) -> None:
+    def order(self, order: orders.Order, proxies: Iterable[int], lines: int = 1) -> None:
         self.desk.out.append(order)
         for proxy in proxies:
-            self.charges[proxy] = self.charges.get(proxy, self.head) + lines
-
-    def withdraw(self, entry: notes.HostEntry) -> None:
-        """At once and for every joined proxy, whatever tables it holds."""
-        i = self.fleet.index[entry.host]
-        out = self.fleet.state[i] is not HostState.READY
-        if out != (i in self.withdrawn):
-            (self.withdrawn.add if out else self.withdrawn.discard)(i)
-            self.order(orders.Withdraw(entry.host, out), list(self.zone_of))
-
-    def crowded(self) -> bool:
-        lines = sum(lines for queue in self.unanswered.values() for _, lines in queue)
-        recent = max((sum(at > self.desk.now - self.window_us for at in sent)
-                      for sent in self.sent_us.values()), default=0)
-        return lines + sum(self.charges.values()) > self.allowance or 0 < self.most <= 2 * recent
-
-    def publish(self) -> None:
-        """Changed slots only; in a crowded channel those that shut or cap a host, all if none is left."""
-        fleet, crowded = self.fleet, self.crowded()
+            self.channel.charge(proxy, lines)
+
+    def write(self, turn: bool) -> None:
+        """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
+        since, heads = self.desk.now - self.written_us, len(self.zone_of) * self.channel.head
+        if since < max(self.least_gap_us, min(self.most_gap_us, heads * self.us_a_line / self.URGENT_HEADS)):
+            return
+        changes = sorted(self.changes(), key=lambda change: (-change.worth, change.host))
+        room = self.limit - self.channel.waiting - heads
+        for host in sorted(self.due):
+            room -= self.tell_gone(host, room)
+        for change in changes:
+            if change.urgent:
+                room -= self.set_line(change, room)
+        if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
+            self.write_ordinary([c for c in changes if not c.urgent], room - self.limit * self.ORDINARY_PART)
+        if self.channel.batch:
+            self.written_us = self.desk.now
+
+    def changes(self) -> Iterator[Change]:
+        """Worth more where a slot is to fall: txns there are late already."""
+        fleet, products = self.fleet, sum(len(table.products) for table in self.tables)
         for table in self.tables:
-            slots = table.slots(fleet)
-            users = self.users(table)
-            waits = crowded and any(i in slots and fleet.cap[i] == NO_CAP for i in table.pushed)
-            for i in sorted(slots.keys() | table.pushed.keys()):
+            slots = table.slots(fleet, self.withdrawn | self.due)
+            part = len(table.products) / products / max(1, sum(slots.values()))
+            # Guards against a bare proxy: if no warm host is left in the table all goes out at once.
+            bare = not any(i in slots and fleet.cap[i] == NO_CAP for i in table.pushed)
+            for i in slots.keys() | table.pushed.keys():
                 count, before = slots.get(i, 0), table.pushed.get(i, 0)
-                if count == before or (waits and count and not (count < before and fleet.cap[i] < NO_CAP)):
-                    continue
-                self.order(orders.SetLine(table.number, fleet.ids[i], float(count)), users)
-                table.pushed[i] = count
-            table.pushed = {i: count for i, count in table.pushed.items() if count}
-        while self.levels and not crowded:
-            level = self.levels.pop(next(iter(self.levels)))
-            self.order(level, self.users(self.tables[level.table]))
+                if count != before and i not in self.due:
+                    fallen = fleet.cap[i] < NO_CAP and count < self.FALLEN * before
+                    worth = abs(count - before) * part * max(1.0, before / max(1, count))
+                    yield Change(worth, bare or fallen or not count, table, i, count)
+
+    def write_ordinary(self, changes: list[Change], room: float) -> None:
+        """The slots that move most, as many as there is room for, if together they are worth their heads."""
+        head = 0 if self.channel.batch else self.channel.head
+        worth = [c for c in changes if c.worth > self.line_price]
+        # A later message holds more lines a head.
+        full = room >= len(self.bound) * min(head, len(worth) + len(self.levels))
+        if full and sum(c.worth - self.line_price for c in worth) > self.line_price * head:
+            for change in worth:
+                room -= self.set_line(change, room)
+        for key, level in list(self.levels.items()) if full else ():
+            if room >= len(users := self.users(self.tables[level.table])):
+                room -= len(users)
+                self.order(self.levels.pop(key), users)
+
+    def set_line(self, change: Change, room: float) -> int:
+        """The lines that it took: none where there is no room."""
+        users = self.users(change.table)
+        if len(users) > room:
+            return 0
+        table, host = change.table, change.host
+        table.pushed[host] = change.count
+        if not change.count:
+            del table.pushed[host]
+        self.order(orders.SetLine(table.number, self.fleet.ids[host], float(change.count)), users)
+        return len(users)
+
+    def tell_gone(self, host: int, room: float) -> int:
+        """Off the tables, and shut out of those that joined proxies hold from elsewhere."""
+        holders = [table for table in self.tables if host in table.pushed]
+        cost = len(self.unbound) + sum(len(self.users(table)) for table in holders)
+        if cost > room:
+            return 0  # it has to wait for answers
+        for table in holders:
+            self.set_line(Change(0.0, True, table, host, 0), room)
+        self.order(orders.Withdraw(self.fleet.ids[host], True), self.unbound)
+        self.withdrawn.add(host)
+        self.due.discard(host)
+        return cost
+
+    def lift(self) -> None:
+        """A cold host stays shut out while proxies on other tables may still name it at its full weight."""
+        for i in sorted(self.withdrawn):
+            warm = self.fleet.cap[i] == NO_CAP
+            if self.fleet.state[i] is HostState.READY and (warm or not self.unbound):
+                self.withdrawn.discard(i)
+                self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
 
     def users(self, table: Table) -> list[int]:
-        return [proxy for proxy, zone in self.zone_of.items() if proxy in self.bound and table.held_in(zone)]
+        return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
     def bind_waiting(self) -> None:
-        """Each proxy once a stream, and never to tables without lines."""
-        for proxy in sorted(self.zone_of.keys() - self.bound) if any(t.pushed for t in self.tables) else ():
+        """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
+        lines = any(table.pushed for table in self.tables)
+        for proxy in sorted(self.unbound, key=lambda proxy: (*self.unbound[proxy], proxy)) if lines else ():
+            tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
+            costs = [1 + len(table.pushed) + 2 * len(table.products) for table in tables]
+            if self.channel.waiting + sum(costs) + self.channel.head > self.limit * self.ORDINARY_PART:
+                break
+            del self.unbound[proxy]
             self.bound.add(proxy)
-            for table in self.tables:
-                if table.held_in(self.zone_of[proxy]):
-                    products = tuple(table.products) if len(self.tables) > 1 else None
-                    lines = 1 + len(table.pushed) + 2 * len(table.products) + len(self.withdrawn)
-                    self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
+            for table, lines in zip(tables, costs):
+                products = tuple(table.products) if len(self.tables) > 1 else None
+                self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
 
     def close(self) -> None:
         """Marks what this batch wrote; the answers tell when it has left the channel."""
-        if self.charges:
-            self.serial = self.serial % 65535 + 1  # as far as a mark counts
-            self.desk.out.append(orders.Mark(self.serial))
-        for proxy, lines in self.charges.items():
-            if self.serial == 1:
-                self.unanswered[proxy].clear()
-            self.unanswered[proxy].append((self.serial, lines + 1))
-            self.sent_us[proxy].append(self.desk.now)
-        self.charges.clear()
+        if mark := self.channel.close():
+            self.desk.out.append(orders.Mark(mark))
 
 
 class Levels(Actor):
@@ -476,20 +550,14 @@
         super().__init__(desk)
         self.fleet, self.publisher, self.unit = fleet, publisher, facts.level_unit
         self.tables = publisher.tables if self.unit is not LevelUnit.NONE else []  # nobody heeds any
-        self.sla_us, self.zone_of = mean_sla_us(facts), dict[int, int]()
-        self.share = [1.0] * len(self.tables)
-        self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]
+        self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]  # shares, the newest last
         self.late, self.voided, self.tries = ([0.0] * len(self.tables) for _ in range(3))
         self.sent: dict[tuple[int, int], float] = {}
         self.rates: dict[tuple[int, int], float] = {}  # txns a second, by proxy and product
 
     def handle(self, note: Any) -> None:
         match note:
-            case notes.ProxyJoined():
-                self.zone_of[note.proxy] = note.zone
-            case notes.ProxyLeft():
-                self.zone_of.pop(note.proxy, None)
-            case notes.ProxyTraffic() if note.span_us > 0:
+            case notes.ProxyTraffic() if note.span_us > 0 and self.tables:
                 key, rate = (note.proxy, note.product), note.arrived * SECOND_US / note.span_us
                 self.rates[key] = (self.rates.get(key, rate) + rate) / 2
             case notes.HostSums():
@@ -499,22 +567,21 @@
                     if table.held_in(note.zone) and table.admits(self.fleet, host):
                         self.tries[place] += note.tries
                         self.voided[place] += note.voided
-                        self.late[place] += (note.tries - note.voided) * note.mean_us / self.sla_us
+                        self.late[place] += (note.tries - note.voided) * note.mean_us / self.fleet.sla_us
             case Beat.TURN:
                 for place, table in enumerate(self.tables):
                     self.follow(place, table)
 
     def follow(self, place: int, table: Table) -> None:
         """Turn by turn: in a sum by txns the many late ones of an overload would outlast it."""
-        share, tries, past = self.share[place], self.tries[place], self.past[place]
-        past.append(share)
-        good = 1 - self.voided[place] / max(1, tries)
-        late = self.late[place] / max(1, tries) + 1 - good
+        past, tries = self.past[place], max(1, self.tries[place])
+        share, before, good = past[-1], past[0], 1 - self.voided[place] / tries
+        late = self.late[place] / tries + 1 - good
         if late > self.HIGH:
-            share = max(self.LEAST, min(share, past[0] * min(self.FALL, good)))
+            share = max(self.LEAST, min(share, before * min(self.FALL, good)))
         elif late < self.LOW:
             share = min(1.0, share * self.RISE)
-        self.share[place] = share
+        past.append(share)
         self.late[place] = self.voided[place] = self.tries[place] = 0
         for product in table.products:
             self.set_level(table, product, share)
@@ -530,124 +597,11 @@
 
     def rate_for(self, table: Table, product: int, share: float) -> float:
         """The rate at each proxy by which the share of all comes in: the small ones keep theirs whole."""
-        rates = sorted(self.rates.get((proxy, product), 0.0) for proxy, zone in self.zone_of.items()
-                       if table.held_in(zone))
+        joined = self.publisher.zone_of.items()
+        rates = sorted(self.rates.get((proxy, product), 0.0) for proxy, zone in joined if table.held_in(zone))
         left = share * sum(rates)
         for place, rate in enumerate(rates):
             if (even := left / (len(rates) - place)) <= rate:
                 return max(even, 0.1)
             left -= rate
         return Publisher.OPEN[self.unit]
-
-
-class Slices(Actor):
-    """Where keys fall into slices: each one in charge keeps an open host; the rest stays as it is."""
-
-    def __init__(self, desk: Desk, fleet: Fleet) -> None:
-        super().__init__(desk)
-        self.fleet, self.lines = fleet, dict[int, set[int]]()
-
-    def handle(self, note: Any) -> None:
-        match note:
-            case notes.SliceCharge(slice=number, given=given):
-                self.lines.pop(number, None)
-                if given:
-                    self.lines[number] = set()
-            case notes.SliceLine(slice=number, host=host):
-                if number in self.lines and host in self.fleet.index:
-                    self.lines[number].add(self.fleet.index[host])
-            case Beat.CHANGED:
-                self.settle()
-
-    def settle(self) -> None:
-        fleet, playing = self.fleet, self.fleet.playing()
-        held = {i: sum(i in lines for lines in self.lines.values()) for i in playing}
-        for number, lines in self.lines.items():
-            if playing and not any(fleet.state[i] is HostState.READY for i in lines):
-                best = min(playing, key=lambda i: (fleet.cap[i] < NO_CAP, held[i] / fleet.weight[i], i))
-                held[best] += 1
-                self.desk.out.append(orders.SetLine(number, fleet.ids[best], 1.0))
-                self.lines[number] = {best}
-
-
-class Steward:
-    """The door: notes come in by id, orders go out; in between one loop empties the inboxes."""
-
-    TURN, ASK = 1, 2
-    ASK_AGAIN_US = 2 * SECOND_US  # well before an unanswered list counts as known
-
-    def __init__(self, facts: StartFacts, seed: int) -> None:
-        self.desk, self.fleet, self.hosts = Desk(seed), Fleet(), list[Host]()
-        self.publisher = publisher = Publisher(self.desk, self.fleet, facts)
-        self.balancer = Balancer(self.desk, self.fleet, publisher.tables)
-        self.levels = levels = Levels(self.desk, self.fleet, facts, publisher)
-        self.slices = Slices(self.desk, self.fleet)
-        self.readers: dict[type, tuple[Actor, ...]] = {
-            notes.ProxyJoined: (publisher, levels), notes.ProxyLeft: (publisher, levels),
-            notes.Applied: (publisher,), notes.ProxyTraffic: (levels,), notes.HostSums: (levels,),
-            notes.SliceCharge: (self.slices,), notes.SliceLine: (self.slices,)}
-        self.ask = orders.Subscribe(True) if facts.must_subscribe else orders.AskList()
-        self.must_subscribe, self.started = facts.must_subscribe, False
-        self.terms = HostTerms(facts.cold_us, facts.cold_share, facts.may_probe,
-                               facts.reports is ReportWay.PROBES, mean_sla_us(facts))
-
-    def deliver(self, clock_us: int, batch: list[notes.Note]) -> list[orders.Order]:
-        desk, changed = self.desk, False
-        desk.now = clock_us
-        if not self.started:
-            self.started = True
-            first = int(Balancer.TURN_US * (0.5 + desk.chance() / 2))  # stewards should not turn in step
-            desk.out += [orders.SetTimer(first, self.TURN)] + [self.ask] * self.must_subscribe
-        for note in batch:
-            changed = self.route(note) or changed
-            desk.run()
-        if changed:
-            for part in (self.publisher, self.slices):
-                desk.put(part, Beat.CHANGED)
-            desk.run()
-        self.publisher.close()
-        out, desk.out = desk.out, []
-        return out
-
-    def route(self, note: notes.Note) -> bool:
-        """Hands a note to the parts concerned; tells whether tables may have to follow."""
-        match note:
-            case notes.HostList():
-                self.on_list(note)
-                return True
-            case notes.TimerDue():
-                return self.on_timer(note.token)
-            case notes.HostSums() | notes.ProbeResult():
-                if note.host not in self.fleet.index:
-                    return False
-                self.desk.put(self.hosts[self.fleet.index[note.host]], note)
-        for part in self.readers.get(type(note), ()):
-            self.desk.put(part, note)
-        return isinstance(note, (notes.SliceCharge, notes.SliceLine, notes.ProbeResult))
-
-    def on_list(self, listed: notes.HostList) -> None:
-        if listed.kind is ListKind.FAILED:
-            self.desk.out.append(orders.SetTimer(self.ASK_AGAIN_US, self.ASK))
-            return
-        fleet = self.fleet
-        entries = {entry.host: entry for entry in listed.entries}
-        if listed.kind is not ListKind.CHANGES:
-            for host, i in fleet.index.items():
-                entries.setdefault(host, notes.HostEntry(host, HostState.GONE, fleet.zone[i], fleet.kind[i],
-                                                         0, 0.0, 0))
-        for host, entry in entries.items():
-            if host not in fleet.index:
-                self.hosts.append(Host(self.desk, fleet, fleet.add(entry), self.terms))
-            for part in (self.hosts[fleet.index[host]], self.publisher):
-                self.desk.put(part, entry)
-        for part in self.hosts:
-            self.desk.put(part, Beat.CHANGED)
-
-    def on_timer(self, token: int) -> bool:
-        if token == self.ASK:
-            self.desk.out.append(self.ask)
-        elif token == self.TURN:
-            self.desk.out.append(orders.SetTimer(Balancer.TURN_US, self.TURN))
-            for part in (*self.hosts, self.balancer, self.levels):
-                self.desk.put(part, Beat.TURN)
-        return token == self.TURN
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -1,5 +1,9 @@
 """Parallel arrays of host figures under a small dense index; storage only, nothing here decides anything."""
 
+from collections.abc import Callable, Iterable
+from itertools import groupby
+from typing import Any
+
 from plankroute.interface.notes import HostEntry, HostState
 
 NO_CAP = float("inf")
@@ -20,6 +24,7 @@
         self.weight: list[float] = []
         self.error: list[float | None] = []
         self.integral: list[float] = []
+        self.standing: list[float] = []  # the weight that its slot stands for, as pushed
         self.news: list[bool] = []  # heard since the last turn
         # Beside the controller
         self.cap: list[float] = []  # the most that an entering host's weight counts for
@@ -41,6 +46,7 @@
                 (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
                 (self.kind, entry.kind), (self.listed, weight), (self.weight, weight), (self.cap, NO_CAP),
                 (self.shut, False), (self.error, None), (self.integral, 0.0), (self.news, False),
+                (self.standing, 0.0),
                 (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
                 (self.held, 0.0), (self.heard_us, 0)):
             array.append(value)
@@ -49,3 +55,8 @@
     def fade(self, place: int, keep: float) -> None:
         for sums in (self.tries, self.voided, self.time_us, self.reports, self.held):
             sums[place] *= keep
+
+
+def grouped(places: Iterable[int], key: Callable[[int], Any]) -> list[list[int]]:
+    """Places that have the same key, group by group."""
+    return [list(group) for _, group in groupby(sorted(places, key=key), key)]
--- a/plankroute/simhost/__main__.py
+++ b/plankroute/simhost/__main__.py
@@ -5,7 +5,7 @@
 import traceback
 from typing import BinaryIO
 
-from plankroute.decide import Steward
+from plankroute.steward import Steward
 from plankroute.interface.notes import Note
 from plankroute.simwire.frames import WireError, read_batch, write_reply
 from plankroute.simwire.records import Decoder, Delivered, Destroyed, Enlisted, encode_failure, encode_order
--- /dev/null
+++ b/plankroute/steward.py
@@ -0,0 +1,87 @@
+"""The door of a steward: notes in by id, orders out, and the beats that wake its parts; no decision."""
+
+from plankroute.actors import Desk
+from plankroute.decide import Balancer, Beat, Fleet, Host, Levels, Publisher
+from plankroute.interface import notes, orders
+from plankroute.interface.facts import StartFacts
+from plankroute.interface.notes import HostState, ListKind
+
+
+class Steward:
+    """The door: notes come in by id, orders go out; in between one loop empties the inboxes."""
+
+    TURN, ASK, PULSE = 1, 2, 3
+
+    def __init__(self, facts: StartFacts, seed: int) -> None:
+        self.desk, self.fleet, self.hosts = Desk(seed), Fleet(facts), list[Host]()
+        self.publisher = Publisher(self.desk, self.fleet, facts)
+        self.balancer = Balancer(self.desk, self.fleet, self.publisher.tables)
+        self.levels = Levels(self.desk, self.fleet, facts, self.publisher)
+        self.ask = orders.Subscribe(True) if facts.must_subscribe else orders.AskList()
+        self.desk.out.append(orders.SetTimer(self.balancer.first_us, self.TURN))
+        self.desk.out.append(orders.SetTimer(Publisher.PULSE_US, self.PULSE))
+        self.desk.out += [self.ask] * facts.must_subscribe
+
+    def deliver(self, clock_us: int, batch: list[notes.Note]) -> list[orders.Order]:
+        desk, beats = self.desk, set[Beat | None]()
+        desk.now = clock_us
+        for note in batch:
+            beats.add(self.route(note))
+            desk.run()
+        if beats - {None}:
+            desk.put(self.publisher, Beat.TURN if Beat.TURN in beats else Beat.CHANGED)
+            desk.run()
+        self.publisher.close()
+        out, desk.out = desk.out, []
+        return out
+
+    def route(self, note: notes.Note) -> Beat | None:
+        """Hands a note to the parts concerned; tells whether tables may have to follow."""
+        match note:
+            case notes.HostList():
+                return self.on_list(note)
+            case notes.TimerDue():
+                return self.on_timer(note.token)
+            case notes.HostSums() | notes.ProbeResult() if note.host in self.fleet.index:
+                self.desk.put(self.hosts[self.fleet.index[note.host]], note)
+                self.desk.put(self.levels, note)
+            case notes.ProxyTraffic():
+                self.desk.put(self.levels, note)
+            case notes.ProxyJoined() | notes.ProxyLeft() | notes.Applied():
+                self.desk.put(self.publisher, note)
+        return Beat.CHANGED if isinstance(note, notes.ProxyJoined) else None
+
+    def on_list(self, listed: notes.HostList) -> Beat | None:
+        if listed.kind is ListKind.FAILED:
+            self.desk.out.append(orders.SetTimer(Host.ASK_AGAIN_US, self.ASK))
+            return None
+        fleet = self.fleet
+        entries = {entry.host: entry for entry in listed.entries}
+        if listed.kind is not ListKind.CHANGES:
+            for host, i in fleet.index.items():
+                gone = notes.HostEntry(host, HostState.GONE, fleet.zone[i], fleet.kind[i], 0, 0.0, 0)
+                entries.setdefault(host, gone)
+        for host, entry in entries.items():
+            if host not in fleet.index:
+                self.hosts.append(Host(self.desk, fleet, fleet.add(entry)))
+            for part in (self.hosts[fleet.index[host]], self.publisher):
+                self.desk.put(part, entry)
+        self.desk.run()
+        fleet.look()
+        for part in self.hosts:
+            self.desk.put(part, Beat.CHANGED)
+        return Beat.CHANGED
+
+    def on_timer(self, token: int) -> Beat | None:
+        if token == self.ASK:
+            self.desk.out.append(self.ask)
+        elif token == self.PULSE:
+            self.desk.out.append(orders.SetTimer(Publisher.PULSE_US, self.PULSE))
+            return Beat.CHANGED
+        elif token == self.TURN:
+            self.desk.out.append(orders.SetTimer(Balancer.TURN_US, self.TURN))
+            self.fleet.look()
+            for part in (*self.hosts, self.balancer, self.levels):
+                self.desk.put(part, Beat.TURN)
+            return Beat.TURN
+        return None
