--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -83,6 +83,7 @@
 
     ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the fleet's part, and in txns: together beyond chance
+    STRAINED = 3.0  # times the fleet's voided part: where all void much a host that voids more is but fuller
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32  # in a row, to shut a suspect and to let it back
     MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
@@ -189,7 +190,7 @@
     def suspect(self) -> bool:
         """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
         fleet, i = self.fleet, self.place
-        excess = fleet.voided[i] - (fleet.voided_part + self.VOIDED_EXCESS) * fleet.tries[i]
+        excess = fleet.voided[i] - (self.STRAINED * fleet.voided_part + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
     def silent(self) -> bool:
@@ -220,7 +221,7 @@
     KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10  # fill is at the present weight: lateness bounds them less
     EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
-    LEAD = 0.3
+    LEAD, DEAR_LEAD = 0.6, 0.3  # part of a slot; where a turn can't write all: at 0.6 zones swung
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
@@ -249,10 +250,11 @@
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
             weight = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
-            if fleet.standing[i] and fleet.cap[i] == NO_CAP:
-                # Guards against a weight that runs on while its slot waits: news are of the slot.
-                lead = 1 + self.LEAD * eager
-                weight = min(max(weight, fleet.standing[i] / lead), fleet.standing[i] * lead)
+            held = fleet.standing[i] if fleet.cap[i] == NO_CAP else 0.0
+            if held:
+                # Guards against a weight that runs on while its slot waits: the news are of the slot.
+                lead = 1 + eager * (self.DEAR_LEAD if fleet.dear else self.LEAD)
+                weight = min(max(weight, held / lead), held * lead)
             fleet.weight[i] = weight
         scale = len(playing) / sum(fleet.weight[i] for i in playing)
         for i in playing:
@@ -374,6 +376,7 @@
 
     PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
     ORDINARY_PART = 0.5  # of the limit may be in the queue; what the rules demand has the rest
+    BIND_PART = 0.3  # binds leave room for slots: those who come later find the table right
     URGENT_HEADS = 0.5  # of the channel's pace at most goes into the heads of what the rules demand
     WORTH_US = 3 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
@@ -436,6 +439,8 @@
     def write(self, turn: bool) -> None:
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
         since, heads = self.desk.now - self.written_us, len(self.zone_of) * self.channel.head
+        whole = sum(len(self.users(table)) * len(table.pushed) for table in self.tables) + heads
+        self.fleet.dear = whole > self.limit * self.ORDINARY_PART
         if since < max(self.least_gap_us, min(self.most_gap_us, heads * self.us_a_line / self.URGENT_HEADS)):
             return
         changes = sorted(self.changes(), key=lambda change: (-change.worth, change.host))
@@ -521,7 +526,7 @@
         for proxy in sorted(self.unbound, key=lambda proxy: (*self.unbound[proxy], proxy)) if lines else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(table.pushed) + 2 * len(table.products) for table in tables]
-            if self.channel.waiting + sum(costs) + self.channel.head > self.limit * self.ORDINARY_PART:
+            if self.channel.waiting + sum(costs) + self.channel.head > self.limit * self.BIND_PART:
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
