--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -471,18 +471,18 @@
                     yield Change(worth, bare or fallen or not count, table, i, count)
 
     def write_ordinary(self, changes: list[Change], room: float) -> None:
-        """The slots that move most, as many as there is room for, if together they are worth their heads."""
+        """Levels, then the slots that move most, as there is room, if together they are worth their heads."""
         head = 0 if self.channel.batch else self.channel.head
         worth = [c for c in changes if c.worth > self.line_price]
-        # A later message holds more lines a head.
-        full = room >= len(self.bound) * min(head, len(worth) + len(self.levels))
-        if full and sum(c.worth - self.line_price for c in worth) > self.line_price * head:
-            for change in worth:
-                room -= self.set_line(change, room)
-        for key, level in list(self.levels.items()) if full else ():
+        if room < len(self.bound) * min(head, len(worth) + len(self.levels)):
+            return  # a later message holds more lines a head
+        for key, level in list(self.levels.items()):
             if room >= len(users := self.users(self.tables[level.table])):
                 room -= len(users)
                 self.order(self.levels.pop(key), users)
+        if sum(c.worth - self.line_price for c in worth) > self.line_price * head or self.channel.batch:
+            for change in worth:
+                room -= self.set_line(change, room)
 
     def set_line(self, change: Change, room: float) -> int:
         """The lines that it took: none where there is no room."""
@@ -543,7 +543,9 @@
 class Levels(Actor):
     """Declines early while answers are late: table by table, so zone by zone where products stay in one.
 
-    Guards against overload of any cause; does harm where answers are late though hosts are not full.
+    Guards against overload of any cause. Only answers that come count: behind a cut, or where connections fail,
+    txns are lost however few are let in. Never less is let in than is settled just now: what is known is seconds
+    old, and levels that fell on declined an idle fleet. Harm: late answers of hosts that are not full.
     """
 
     HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
@@ -557,16 +559,18 @@
         self.tables = publisher.tables if self.unit is not LevelUnit.NONE else []  # nobody heeds any
         self.past = [deque([1.0] * self.LAG, self.LAG) for _ in self.tables]  # shares, the newest last
         self.late, self.voided, self.tries = ([0.0] * len(self.tables) for _ in range(3))
+        self.settled = self.arrived = 0.0  # txns of the last turns, over all tables
         self.sent: dict[tuple[int, int], float] = {}
         self.rates: dict[tuple[int, int], float] = {}  # txns a second, by proxy and product
 
     def handle(self, note: Any) -> None:
         match note:
             case notes.ProxyTraffic() if note.span_us > 0 and self.tables:
+                self.arrived += note.arrived
                 key, rate = (note.proxy, note.product), note.arrived * SECOND_US / note.span_us
                 self.rates[key] = (self.rates.get(key, rate) + rate) / 2
             case notes.HostSums():
-                host = self.fleet.index[note.host]
+                host, self.settled = self.fleet.index[note.host], self.settled + note.tries - note.voided
                 for place, table in enumerate(self.tables):
                     # By what its own proxies met: a zone behind a cut may serve its own all the same.
                     if table.held_in(note.zone) and table.admits(self.fleet, host):
@@ -576,14 +580,17 @@
             case Beat.TURN:
                 for place, table in enumerate(self.tables):
                     self.follow(place, table)
+                self.settled, self.arrived = self.settled / 2, self.arrived / 2
 
     def follow(self, place: int, table: Table) -> None:
         """Turn by turn: in a sum by txns the many late ones of an overload would outlast it."""
-        past, tries = self.past[place], max(1, self.tries[place])
+        past, tries = self.past[place], max(1.0, self.tries[place])
         share, before, good = past[-1], past[0], 1 - self.voided[place] / tries
-        late = self.late[place] / tries + 1 - good
+        settled = tries - self.voided[place]
+        late = self.late[place] / settled if settled else self.LOW
         if late > self.HIGH:
-            share = max(self.LEAST, min(share, before * min(self.FALL, good)))
+            least = max(self.LEAST, min(1.0, self.settled / max(1.0, self.arrived)))
+            share = max(least, min(share, before * min(self.FALL, good)))
         elif late < self.LOW:
             share = min(1.0, share * self.RISE)
         past.append(share)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -256,6 +256,15 @@
     assert bench.levels[-1].level == Publisher.OPEN[unit]
 
 
+def test_levels_decline_nothing_for_lost_connections_and_no_more_than_is_lost():
+    for slow_ms, voided, least in ((200.0, 6, 20.0), (900.0, 2, 12.0)):
+        bench = ready_bench(level_unit=LevelUnit.RATE)
+        for _ in range(20):
+            bench.give(*[notes.ProxyTraffic(p, 0, 12, 0, SECOND) for p in range(4)])
+            feed(bench, 1, time_ms=lambda host: slow_ms, voided=lambda host: voided)
+        assert bench.levels[-1].level >= least * 0.6
+
+
 def test_slices_stay_as_the_store_has_them_but_drains_are_kept():
     bench = Bench(start_facts(slices=4, exclusive=True))
     bench.give(full(entry(1), entry(2)), notes.ProxyJoined(0, 0, 1.0, True), notes.SliceCharge(0, True))
