--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -249,7 +249,7 @@
                 change = error - before if before is not None else 0.0
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
-            weight = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
+            weight = max(fleet.weight[i] + 4 * max(mean, fleet.weight[i]) * eager * c, self.FLOOR * mean)
             held = fleet.standing[i] if fleet.cap[i] == NO_CAP else 0.0
             if held:
                 # Guards against a weight that runs on while its slot waits: the news are of the slot.
@@ -376,7 +376,6 @@
 
     PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
     ORDINARY_PART = 0.5  # of the limit may be in the queue; what the rules demand has the rest
-    DRAINED = 0.6  # of that part is free again: the next message need not wait for the turn
     BIND_PART = 0.3  # binds leave room for slots: those who come later find the table right
     URGENT_HEADS = 0.5  # of the channel's pace at most goes into the heads of what the rules demand
     WORTH_US = 3 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
@@ -451,10 +450,8 @@
         for change in changes:
             if change.urgent:
                 room -= self.set_line(change, room)
-        room -= self.limit * (1 - self.ORDINARY_PART)
-        drained = turn or room > self.limit * self.ORDINARY_PART * self.DRAINED
-        if self.channel.batch or (drained and since >= 2 * self.least_gap_us):
-            self.write_ordinary([c for c in changes if not c.urgent], room)
+        if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
+            self.write_ordinary([c for c in changes if not c.urgent], room - self.limit * self.ORDINARY_PART)
         if self.channel.batch:
             self.written_us = self.desk.now
 
