--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -42,7 +42,7 @@
         self.probe_always = facts.may_probe and facts.reports is ReportWay.PROBES  # reports come no other way
         sla_us = [product.sla_us for product in facts.products]
         self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
-        self.voided_part = self.time_part = self.tries_a_weight = 0.0  # over all hosts listed ready
+        self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.able = self.entering = self.last_us = 0
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
@@ -60,6 +60,7 @@
         ready, heard = self.ready(), [i for i in self.playing() if self.tries[i] > 0]
         tries = sum(self.tries[i] for i in ready) or 1.0
         self.voided_part = sum(self.voided[i] for i in ready) / tries
+        self.crowding = tries * 0.693 * SECOND_US / MEMORY_US / max(1, self.proxies * len(ready))
         self.time_part = sum(self.time_us[i] for i in ready) / tries
         self.tries_a_weight = sum(self.tries[i] for i in heard) / (sum(self.weight[i] for i in heard) or 1.0)
         self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) // 2] if heard else 0
@@ -91,6 +92,7 @@
     FLOCK = 2.5  # takes a quarter off at a half voided, two thirds at nine tenths; without it hosts fell
     # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
     DROWNING, TIPPING, LATE = 0.5, 0.35, 0.8
+    SHUNS = 0.3  # tries a second that a proxy makes at a host: with fewer it hardly shuns any, and none flock
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int) -> None:
         super().__init__(desk)
@@ -132,7 +134,8 @@
             return
         voided, half, rescue = fleet.voided_part, fleet.most / 2, share * fleet.entering
         bound = self.TIPPING if fleet.time_part > self.LATE * fleet.sla_us else self.DROWNING
-        drowning = rescue < max(fleet.able, half) and (voided > bound or fleet.able + rescue < half)
+        rush = voided > bound and fleet.crowding > self.SHUNS
+        drowning = rescue < max(fleet.able, half) and (rush or fleet.able + rescue < half)
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
@@ -249,7 +252,7 @@
                 change = error - before if before is not None else 0.0
                 fleet.error[i], fleet.news[i] = error, False
             c = self.KP * error + self.KI * fleet.integral[i] + self.KD * change
-            weight = max(fleet.weight[i] + 4 * max(mean, fleet.weight[i]) * eager * c, self.FLOOR * mean)
+            weight = max(fleet.weight[i] + 4 * mean * eager * c, self.FLOOR * mean)
             held = fleet.standing[i] if fleet.cap[i] == NO_CAP else 0.0
             if held:
                 # Guards against a weight that runs on while its slot waits: the news are of the slot.
@@ -440,7 +443,7 @@
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
         since, heads = self.desk.now - self.written_us, len(self.zone_of) * self.channel.head
         whole = sum(len(self.users(table)) * len(table.pushed) for table in self.tables) + heads
-        self.fleet.dear = whole > self.limit * self.ORDINARY_PART
+        self.fleet.proxies, self.fleet.dear = len(self.zone_of), whole > self.limit * self.ORDINARY_PART
         if since < max(self.least_gap_us, min(self.most_gap_us, heads * self.us_a_line / self.URGENT_HEADS)):
             return
         changes = sorted(self.changes(), key=lambda change: (-change.worth, change.host))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -196,6 +196,14 @@
         assert (200 in bench.lines[0]) == taken
 
 
+def test_a_cold_host_of_a_drowning_fleet_keeps_its_line_where_proxies_hardly_shun():
+    bench = ready_bench(proxies=60)
+    feed(bench, 3)
+    bench.give(changes(entry(200, started_us=bench.now)))
+    feed(bench, 6, voided=lambda host: 8)
+    assert 0 < bench.lines[0][200] < bench.lines[0][101] / 2
+
+
 def test_a_restart_in_place_is_cold_again():
     bench = ready_bench()
     bench.give(changes(entry(100, GONE)))
