--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -546,9 +546,9 @@
 class Levels(Actor):
     """Declines early while answers are late: table by table, so zone by zone where products stay in one.
 
-    Guards against overload of any cause. Only answers that come count: behind a cut, or where connections fail,
-    txns are lost however few are let in. Never less is let in than is settled just now: what is known is seconds
-    old, and levels that fell on declined an idle fleet. Harm: late answers of hosts that are not full.
+    Guards against overload of any cause. Only answers that come count: behind a cut, or where connections
+    fail, txns are lost however few are let in. Never less is let in than is settled just now: what is known is
+    seconds old, and levels that fell on declined an idle fleet. Harm: late answers of hosts that are not full.
     """
 
     HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
