--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -381,7 +381,7 @@
     ORDINARY_PART = 0.5  # of the limit may be in the queue; what the rules demand has the rest
     BIND_PART = 0.3  # binds leave room for slots: those who come later find the table right
     URGENT_HEADS = 0.5  # of the channel's pace at most goes into the heads of what the rules demand
-    WORTH_US = 3 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
+    WORTH_US = 1 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
