--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -382,6 +382,7 @@
     BIND_PART = 0.3  # binds leave room for slots: those who come later find the table right
     URGENT_HEADS = 0.5  # of the channel's pace at most goes into the heads of what the rules demand
     WORTH_US = 1 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
+    NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
@@ -470,7 +471,8 @@
                 count, before = slots.get(i, 0), table.pushed.get(i, 0)
                 if count != before and i not in self.due:
                     fallen = fleet.cap[i] < NO_CAP and count < self.FALLEN * before
-                    worth = abs(count - before) * part * max(1.0, before / max(1, count))
+                    strain = max(1.0, before / max(1, count)) if before else self.NEW
+                    worth = abs(count - before) * part * strain
                     yield Change(worth, bare or fallen or not count, table, i, count)
 
     def write_ordinary(self, changes: list[Change], room: float) -> None:
