--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -378,9 +378,9 @@
     """
 
     PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
-    ORDINARY_PART = 0.5  # of the limit may be in the queue; what the rules demand has the rest
-    BIND_PART = 0.3  # binds leave room for slots: those who come later find the table right
-    URGENT_HEADS = 0.5  # of the channel's pace at most goes into the heads of what the rules demand
+    ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
+    LOST = 0.3  # of a zone's hosts: the few drawn from it may all be among them
+    BIND_PART = 0.6  # binds leave room for slots: those who come later find the table right
     WORTH_US = 1 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
@@ -391,6 +391,10 @@
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
         super().__init__(desk)
         self.fleet, self.channel, self.limit = fleet, Channel(facts.head_lines), facts.queue_cap
+        in_time = self.GRACE_PART * max(0, facts.grace_us - facts.way_most_us) / SECOND_US * facts.lines_per_s
+        self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
+        self.round = (self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # until answers free it
+        self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         self.us_a_line, self.most_gap_us = SECOND_US / max(1.0, facts.lines_per_s), facts.grace_us / 3
         self.line_price = (facts.prices.order * facts.proxies * self.us_a_line
                            / (self.WORTH_US * max(1, facts.stewards)))
@@ -444,8 +448,9 @@
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
         since, heads = self.desk.now - self.written_us, len(self.zone_of) * self.channel.head
         whole = sum(len(self.users(table)) * len(table.pushed) for table in self.tables) + heads
-        self.fleet.proxies, self.fleet.dear = len(self.zone_of), whole > self.limit * self.ORDINARY_PART
-        if since < max(self.least_gap_us, min(self.most_gap_us, heads * self.us_a_line / self.URGENT_HEADS)):
+        self.fleet.proxies, self.fleet.dear = len(self.zone_of), whole > self.allowance
+        busy = self.channel.waiting > self.round  # what comes meanwhile shares the next message's heads
+        if since < self.least_gap_us or (busy and since < self.most_gap_us):
             return
         changes = sorted(self.changes(), key=lambda change: (-change.worth, change.host))
         room = self.limit - self.channel.waiting - heads
@@ -454,8 +459,9 @@
         for change in changes:
             if change.urgent:
                 room -= self.set_line(change, room)
-        if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
-            self.write_ordinary([c for c in changes if not c.urgent], room - self.limit * self.ORDINARY_PART)
+        rare = turn and since >= 2 * self.least_gap_us and not (self.unbound and self.lost_zones())
+        if self.channel.batch or rare:
+            self.write_ordinary([c for c in changes if not c.urgent], room - self.limit + self.allowance)
         if self.channel.batch:
             self.written_us = self.desk.now
 
@@ -473,12 +479,15 @@
                     fallen = fleet.cap[i] < NO_CAP and count < self.FALLEN * before
                     strain = max(1.0, before / max(1, count)) if before else self.NEW
                     worth = abs(count - before) * part * strain
-                    yield Change(worth, bare or fallen or not count, table, i, count)
+                    urgent = bare or fallen or not count
+                    if i in self.withdrawn:  # nobody sends there: it goes last of all, sooner if it is back
+                        worth, urgent = worth * self.back(i), bare and self.back(i)
+                    yield Change(worth, urgent, table, i, count)
 
     def write_ordinary(self, changes: list[Change], room: float) -> None:
         """Levels, then the slots that move most, as there is room, if together they are worth their heads."""
         head = 0 if self.channel.batch else self.channel.head
-        worth = [c for c in changes if c.worth > self.line_price]
+        worth = [c for c in changes if c.worth > self.line_price or c.host in self.withdrawn]
         if room < len(self.bound) * min(head, len(worth) + len(self.levels)):
             return  # a later message holds more lines a head
         for key, level in list(self.levels.items()):
@@ -502,36 +511,45 @@
         return len(users)
 
     def tell_gone(self, host: int, room: float) -> int:
-        """Off the tables, and shut out of those that joined proxies hold from elsewhere."""
-        holders = [table for table in self.tables if host in table.pushed]
-        cost = len(self.unbound) + sum(len(self.users(table)) for table in holders)
-        if cost > room:
+        """One line a proxy, whatever its tables; their own lines go when there is room."""
+        if len(self.zone_of) > room:
             return 0  # it has to wait for answers
-        for table in holders:
-            self.set_line(Change(0.0, True, table, host, 0), room)
-        self.order(orders.Withdraw(self.fleet.ids[host], True), self.unbound)
+        self.order(orders.Withdraw(self.fleet.ids[host], True), self.zone_of)
         self.withdrawn.add(host)
         self.due.discard(host)
-        return cost
+        return len(self.zone_of)
 
     def lift(self) -> None:
-        """A cold host stays shut out while proxies on other tables may still name it at its full weight."""
+        """Once no table names it; a cold host stays out while proxies on older tables may name it too."""
         for i in sorted(self.withdrawn):
-            warm = self.fleet.cap[i] == NO_CAP
-            if self.fleet.state[i] is HostState.READY and (warm or not self.unbound):
+            named = any(i in table.pushed for table in self.tables)
+            if self.back(i) and not named and (self.fleet.cap[i] == NO_CAP or not self.unbound):
                 self.withdrawn.discard(i)
                 self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
 
+    def back(self, host: int) -> bool:
+        return host in self.withdrawn and self.fleet.state[host] is HostState.READY
+
     def users(self, table: Table) -> list[int]:
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
+    def lost_zones(self) -> set[int]:
+        """Much is gone of them: proxies not yet bound, whose few lines are drawn in a zone, may be bare soon."""
+        zone = self.fleet.zone
+        gone = [zone[i] for i in self.withdrawn]
+        return {z for z in set(gone) if gone.count(z) > self.LOST * zone.count(z)}
+
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
         lines = any(table.pushed for table in self.tables)
-        for proxy in sorted(self.unbound, key=lambda proxy: (*self.unbound[proxy], proxy)) if lines else ():
+        lost = self.lost_zones()
+        room = self.allowance if lost else self.bind_allowance
+        waits = sorted(self.unbound, key=lambda p: (self.zone_of[p] not in lost, *self.unbound[p], p))
+        for proxy in waits if lines else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
-            costs = [1 + len(table.pushed) + 2 * len(table.products) for table in tables]
-            if self.channel.waiting + sum(costs) + self.channel.head > self.limit * self.BIND_PART:
+            out = [len(self.withdrawn & table.pushed.keys()) for table in tables]
+            costs = [1 + len(t.pushed) + 2 * len(t.products) + gone for t, gone in zip(tables, out)]
+            if self.channel.waiting + sum(costs) + self.channel.head > room:
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
@@ -549,8 +567,8 @@
     """Declines early while answers are late: table by table, so zone by zone where products stay in one.
 
     Guards against overload of any cause. Only answers that come count: behind a cut, or where connections
-    fail, txns are lost however few are let in. Never less is let in than is settled just now: what is known is
-    seconds old, and levels that fell on declined an idle fleet. Harm: late answers of hosts that are not full.
+    fail, txns are lost however few come in. Never less is let in than is settled just now: what is known is
+    seconds old, and levels that fell on declined an idle fleet. Harm: late answers of hosts not full.
     """
 
     HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
