--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -91,7 +91,7 @@
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 2.5  # takes a quarter off at a half voided, two thirds at nine tenths; without it hosts fell
     # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
-    DROWNING, TIPPING, LATE = 0.5, 0.35, 0.8
+    DROWNING, TIPPING, LATE = 0.5, 0.3, 0.8
     SHUNS = 0.3  # tries a second that a proxy makes at a host: with fewer it hardly shuns any, and none flock
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int) -> None:
@@ -393,7 +393,7 @@
         self.fleet, self.channel, self.limit = fleet, Channel(facts.head_lines), facts.queue_cap
         in_time = self.GRACE_PART * max(0, facts.grace_us - facts.way_most_us) / SECOND_US * facts.lines_per_s
         self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
-        self.round = (self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # until answers free it
+        self.round = (self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # of answers
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         self.us_a_line, self.most_gap_us = SECOND_US / max(1.0, facts.lines_per_s), facts.grace_us / 3
         self.line_price = (facts.prices.order * facts.proxies * self.us_a_line
@@ -534,7 +534,7 @@
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
     def lost_zones(self) -> set[int]:
-        """Much is gone of them: proxies not yet bound, whose few lines are drawn in a zone, may be bare soon."""
+        """Much of them is gone: proxies not yet bound have few lines, drawn in a zone, and may be bare."""
         zone = self.fleet.zone
         gone = [zone[i] for i in self.withdrawn]
         return {z for z in set(gone) if gone.count(z) > self.LOST * zone.count(z)}
