--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -378,10 +378,10 @@
     """
 
     PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
-    ORDINARY_PART, GRACE_PART = 0.5, 0.25  # of the limit, of the grace may be queued: the rest is for drains
+    ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
     LOST = 0.3  # of a zone's hosts: the few drawn from it may all be among them
-    BIND_PART = 0.8  # binds leave room for slots: those who come later find the table right
-    WORTH_US = 2 * SECOND_US  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
+    BIND_PART = 0.6  # binds leave room for slots: those who come later find the table right
+    WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
