--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -373,15 +373,15 @@
 class Publisher(Actor):
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take.
 
-    A line is paid at every proxy, as is a message's head: where proxies are many, messages are full, hold the
-    slots that move most, and leave out those not worth their price; newer slots replace what was put off.
+    A line is paid at every proxy, and so is a message's head: where proxies are many, messages are full, hold
+    the slots that move most, and leave out those not worth their price; newer slots replace what was put off.
     """
 
     PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
     ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
     LOST = 0.1  # of a zone's hosts: the few drawn from it may all be among them
     BIND_PART = 0.6  # binds leave room for slots: those who come later find the table right
-    WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a fifth or so, for the fifteen seconds that a slot stands
+    WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a tenth or so, for the time that a slot stands
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
@@ -395,8 +395,6 @@
         self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
         self.round = (self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # of answers
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
-        half_turn = Balancer.TURN_US / 2 * facts.lines_per_s / SECOND_US  # the other half is for binds
-        self.shared_allowance = min(self.allowance, self.bind_allowance + half_turn)
         self.us_a_line, self.most_gap_us = SECOND_US / max(1.0, facts.lines_per_s), facts.grace_us / 3
         self.line_price = (facts.prices.order * facts.proxies * self.us_a_line
                            / (self.WORTH_US * max(1, facts.stewards)))
@@ -463,8 +461,7 @@
                 room -= self.set_line(change, room)
         rare = turn and since >= 2 * self.least_gap_us and not (self.unbound and self.lost_zones())
         if self.channel.batch or rare:
-            room -= self.limit - (self.shared_allowance if self.unbound else self.allowance)
-            self.write_ordinary([c for c in changes if not c.urgent], room)
+            self.write_ordinary([c for c in changes if not c.urgent], room - self.limit + self.allowance)
         if self.channel.batch:
             self.written_us = self.desk.now
 
@@ -480,7 +477,8 @@
                 count, before = slots.get(i, 0), table.pushed.get(i, 0)
                 if count != before and i not in self.due:
                     fallen = fleet.cap[i] < NO_CAP and count < self.FALLEN * before
-                    worth = abs(count - before) * part * (max(1.0, before / max(1, count)) if before else self.NEW)
+                    strain = max(1.0, before / max(1, count)) if before else self.NEW
+                    worth = abs(count - before) * part * strain
                     urgent = bare or fallen or not count
                     if i in self.withdrawn:  # nobody sends there: it goes last of all, sooner if it is back
                         worth, urgent = worth * self.back(i), bare and self.back(i)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -341,6 +341,48 @@
     generated_day(Bench(facts, speed=rng.choice([1.0, 0.4])), rng, 50)
 
 
+def large_bench(seed: int) -> tuple[Bench, random.Random]:
+    """All proxies on one steward, whose channel may be slow: every bind is half a hundred lines."""
+    rng = random.Random(seed)
+    facts = start_facts(proxies=100, queue_cap=4000, grace_us=7 * SECOND, bare_us=12 * SECOND)
+    bench = Bench(facts, speed=rng.choice([1.0, 0.7]))
+    bench.give(full(*[entry(100 + i, zone=i % 3) for i in range(60)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, rng.uniform(1, 9), True) for p in range(100)])
+    return bench, rng
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_large_fleets_keep_the_rules_through_waves_and_broken_streams(seed):
+    bench, rng = large_bench(seed)
+    for _ in range(6):
+        host = rng.randrange(100, 150)
+        match rng.randrange(3):
+            case 0:
+                bench.give(changes(*[entry(host + i, GONE, (host + i - 100) % 3) for i in range(10)]))
+            case 1:
+                bench.give(changes(*[entry(host + i, READY, (host + i - 100) % 3, started_us=bench.now)
+                                     for i in range(10)]))
+            case _:
+                again = rng.sample(range(100), 50)
+                bench.give(*[notes.ProxyLeft(p) for p in again])
+                bench.give(*[notes.ProxyJoined(p, p % 3, 1.0, False) for p in again])
+        feed(bench, 2, time_ms=lambda _: math.exp(rng.gauss(5.5, 1.0)))
+    bench.pass_time(10 * SECOND)
+    assert len(bench.bound) == 100
+
+
+def test_a_dear_message_holds_the_slots_that_move_most_and_weights_stay_near_them():
+    bench, _ = large_bench(7)
+    bench.pass_time(8 * SECOND)
+    bench.log.clear()
+    feed(bench, 1, time_ms=lambda host: 2000.0 if host == 100 else 200.0 + host)
+    lines = [order.host for order in bench.log if isinstance(order, orders.SetLine)]
+    assert lines[0] == 100 and len(lines) < 30
+    bench.rate, fleet = 0.0, bench.steward.fleet
+    feed(bench, 12, time_ms=lambda host: 2000.0 if host == 101 else 200.0)
+    assert fleet.dear and fleet.weight[1] >= fleet.standing[1] / 2
+
+
 def test_the_model_objects_to_a_steward_that_forgets_drains(monkeypatch):
     monkeypatch.setattr(Publisher, "tell_gone", lambda self, host, room: 0)
     bench = ready_bench()
