--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -224,7 +224,8 @@
     KP, KI, KD, LEAK = 0.12, 0.01, 0.02, 0.10  # fill is at the present weight: lateness bounds them less
     EAGER = 6.0  # where the list tells no sizes, all is to be learnt: more gain at first, double at turn 6
     FLOOR = 0.05
-    LEAD, DEAR_LEAD = 0.6, 0.3  # part of a slot; where a turn can't write all: at 0.6 zones swung
+    LEAD, DEAR_LEAD = 0.6, 0.3  # of a slot; where a turn can't write all: at 0.6 zones swung
+    PAYS = 1.2  # times the least move that is worth its line: a shorter lead would keep the slot for good
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
@@ -256,8 +257,8 @@
             held = fleet.standing[i] if fleet.cap[i] == NO_CAP else 0.0
             if held:
                 # Guards against a weight that runs on while its slot waits: the news are of the slot.
-                lead = 1 + eager * (self.DEAR_LEAD if fleet.dear else self.LEAD)
-                weight = min(max(weight, held / lead), held * lead)
+                lead = max(self.DEAR_LEAD if fleet.dear else self.LEAD, self.PAYS * fleet.least_move)
+                weight = min(max(weight, held / (1 + eager * lead)), held * (1 + eager * lead))
             fleet.weight[i] = weight
         scale = len(playing) / sum(fleet.weight[i] for i in playing)
         for i in playing:
@@ -395,10 +396,9 @@
         self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
         self.round = (self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # of answers
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
-        self.us_a_line, self.most_gap_us = SECOND_US / max(1.0, facts.lines_per_s), facts.grace_us / 3
-        self.line_price = (facts.prices.order * facts.proxies * self.us_a_line
-                           / (self.WORTH_US * max(1, facts.stewards)))
-        most = facts.messages_most
+        a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
+        self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
+        most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = -facts.messages_window_us
         self.tables = [] if facts.slices else tables_for(facts)  # the store keeps the tables of slices
@@ -448,7 +448,8 @@
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
         since, heads = self.desk.now - self.written_us, len(self.zone_of) * self.channel.head
         whole = sum(len(self.users(table)) * len(table.pushed) for table in self.tables) + heads
-        self.fleet.proxies, self.fleet.dear = len(self.zone_of), whole > self.allowance
+        fleet = self.fleet
+        fleet.proxies, fleet.dear, fleet.least_move = len(self.zone_of), whole > self.allowance, 0.0
         busy = self.channel.waiting > self.round  # what comes meanwhile shares the next message's heads
         if since < self.least_gap_us or (busy and since < self.most_gap_us):
             return
@@ -471,6 +472,7 @@
         for table in self.tables:
             slots = table.slots(fleet, self.withdrawn | self.due)
             part = len(table.products) / products / max(1, sum(slots.values()))
+            fleet.least_move = max(fleet.least_move, self.line_price / (part * table.SLOTS_A_HOST))
             # Guards against a bare proxy: if no warm host is left in the table all goes out at once.
             bare = not any(i in slots and fleet.cap[i] == NO_CAP for i in table.pushed)
             for i in slots.keys() | table.pushed.keys():
@@ -541,11 +543,10 @@
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
-        lines = any(table.pushed for table in self.tables)
-        lost = self.lost_zones()
+        filled, lost = any(table.pushed for table in self.tables), self.lost_zones()
         room = self.allowance if lost else self.bind_allowance
         waits = sorted(self.unbound, key=lambda p: (self.zone_of[p] not in lost, *self.unbound[p], p))
-        for proxy in waits if lines else ():
+        for proxy in waits if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             out = [len(self.withdrawn & table.pushed.keys()) for table in tables]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + gone for t, gone in zip(tables, out)]
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -30,6 +30,7 @@
         self.cap: list[float] = []  # the most that an entering host's weight counts for
         self.shut: list[bool] = []
         self.proxies = 0  # joined
+        self.least_move = 0.0  # the smallest move of a usual slot, as a part of it, that is worth its line
         self.dear = False  # writing all slots takes more than a turn's room in the channel
         self.most = 0  # warm hosts listed ready at once, at any time so far
         # Fading sums of the recent past; held is what load reports told
