--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -228,7 +228,6 @@
     PAYS = 1.2  # times the least move that is worth its line: a shorter lead would keep the slot for good
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
-    BELIEF = 2.0  # times more or less than own txns tell; closer the noise of few txns would count
     PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
@@ -272,7 +271,7 @@
             return {}
         size = sum(fleet.listed[i] for i in playing) / len(playing)
         stress = {}
-        held = self.held(times)
+        held = {i: fleet.held[i] / fleet.reports[i] for i in times if fleet.reports[i] > 0.1}
         for hosts in grouped(times, lambda i: tuple(table.admits(fleet, i) for table in self.tables)):
             # Hosts open to the same products: others have another mix of work, and other tries a weight.
             usual = sum(times[i] for i in hosts) / len(hosts)
@@ -285,17 +284,6 @@
         mean = sum(stress.values()) / len(stress)
         return {i: value / (value + mean) for i, value in stress.items()}
 
-    def held(self, times: dict[int, float]) -> dict[int, float]:
-        """What hosts report to hold, within reason: by own txns and their times, and the fleet's usual ratio.
-
-        Guards against reports that lie low, high or stand still. Harm: where stewards use hosts unevenly.
-        """
-        fleet = self.fleet
-        told = {i: fleet.held[i] / fleet.reports[i] for i in times if fleet.reports[i] > 0.1}
-        own = {i: max(0.1, fleet.tries[i] * times[i] * 0.693 / MEMORY_US) for i in told}
-        usual = sorted(told[i] / own[i] for i in told)[len(told) // 2] if told else 1.0
-        return {i: min(max(told[i], usual * own[i] / self.BELIEF), usual * own[i] * self.BELIEF) for i in told}
-
     def pace(self, hosts: list[int], times: dict[int, float], held: dict[int, float]) -> float:
         """Txns a weight and time: by what hosts hold from all proxies, so stewards do not part ways."""
         fleet, told = self.fleet, [i for i in hosts if held.get(i, 0.0) > 0]
