--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -378,10 +378,10 @@
     the slots that move most, and leave out those not worth their price; newer slots replace what was put off.
     """
 
-    PULSE_US = SECOND_US // 5  # well within any grace; a message is on its way as long
+    PULSE_US = SECOND_US // 10  # well within any grace, and shorter than a message's way
     ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
     LOST = 0.1  # of a zone's hosts: the few drawn from it may all be among them
-    BIND_PART = 0.6  # binds leave room for slots: those who come later find the table right
+    BIND_PART = 0.45  # binds leave room for slots: those who come later find the table right
     WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a tenth or so, for the time that a slot stands
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
@@ -394,17 +394,17 @@
         self.fleet, self.channel, self.limit = fleet, Channel(facts.head_lines), facts.queue_cap
         in_time = self.GRACE_PART * max(0, facts.grace_us - facts.way_most_us) / SECOND_US * facts.lines_per_s
         self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
-        self.round = (self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # of answers
+        self.round = (2 * self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # of answers
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
         most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
-        self.written_us = -facts.messages_window_us
+        self.written_us = self.told_us = -facts.messages_window_us
         self.tables = [] if facts.slices else tables_for(facts)  # the store keeps the tables of slices
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
-        self.withdrawn, self.due = set[int](), set[int]()  # hosts; those whose withdrawal is to be written
+        self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to withdraw yet
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
@@ -446,22 +446,24 @@
 
     def write(self, turn: bool) -> None:
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
-        since, heads = self.desk.now - self.written_us, len(self.zone_of) * self.channel.head
+        fleet, joined, heads = self.fleet, len(self.zone_of), len(self.zone_of) * self.channel.head
         whole = sum(len(self.users(table)) * len(table.pushed) for table in self.tables) + heads
-        fleet = self.fleet
-        fleet.proxies, fleet.dear, fleet.least_move = len(self.zone_of), whole > self.allowance, 0.0
-        busy = self.channel.waiting > self.round  # what comes meanwhile shares the next message's heads
-        if since < self.least_gap_us or (busy and since < self.most_gap_us):
+        fleet.proxies, fleet.dear, fleet.least_move = joined, whole > self.allowance, 0.0
+        since, room = self.desk.now - self.written_us, self.limit - self.channel.waiting - heads
+        # A busy channel gathers orders under fewer heads; first drains go at once, refused ones when all fit.
+        fits = self.refused and len(self.due) * joined <= room
+        at_once = fits or (self.due and self.desk.now - self.told_us >= self.most_gap_us)
+        busy = self.channel.waiting > self.round and since < self.most_gap_us
+        if since < self.least_gap_us or (busy and not at_once):
             return
         changes = sorted(self.changes(), key=lambda change: (-change.worth, change.host))
-        room = self.limit - self.channel.waiting - heads
         for host in sorted(self.due):
+            self.told_us = self.desk.now
             room -= self.tell_gone(host, room)
-        for change in changes:
-            if change.urgent:
-                room -= self.set_line(change, room)
-        rare = turn and since >= 2 * self.least_gap_us and not (self.unbound and self.lost_zones())
-        if self.channel.batch or rare:
+        self.refused = bool(self.due)
+        for change in (c for c in changes if c.urgent):
+            room -= self.set_line(change, room)
+        if self.channel.batch or (turn and since >= 2 * self.least_gap_us and not self.lost_zones()):
             self.write_ordinary([c for c in changes if not c.urgent], room - self.limit + self.allowance)
         if self.channel.batch:
             self.written_us = self.desk.now
@@ -537,19 +539,17 @@
 
     def lost_zones(self) -> set[int]:
         """Much of them is gone: proxies not yet bound have few lines, drawn in a zone, and may be bare."""
-        zone = self.fleet.zone
-        gone = [zone[i] for i in self.withdrawn]
-        return {z for z in set(gone) if gone.count(z) > self.LOST * zone.count(z)}
+        gone = [self.fleet.zone[i] for i in self.withdrawn] if self.unbound else []
+        return {z for z in set(gone) if gone.count(z) > self.LOST * self.fleet.zone.count(z)}
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
-        filled, lost = any(table.pushed for table in self.tables), self.lost_zones()
+        filled, lost, out = any(t.pushed for t in self.tables), self.lost_zones(), self.withdrawn
         room = self.allowance if lost else self.bind_allowance
         waits = sorted(self.unbound, key=lambda p: (self.zone_of[p] not in lost, *self.unbound[p], p))
         for proxy in waits if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
-            out = [len(self.withdrawn & table.pushed.keys()) for table in tables]
-            costs = [1 + len(t.pushed) + 2 * len(t.products) + gone for t, gone in zip(tables, out)]
+            costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
             if self.channel.waiting + sum(costs) + self.channel.head > room:
                 break
             del self.unbound[proxy]
