--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -168,9 +168,10 @@
             self.consider_shutting()
 
     def consider_shutting(self) -> None:
-        fleet, i, least = self.fleet, self.place, 1 if self.silent() else self.BAD_PROBES
+        enough = self.bad_probes >= (1 if self.silent() else self.BAD_PROBES)
+        fleet, i = self.fleet, self.place
         sendable = fleet.state[i] is HostState.READY and not fleet.shut[i] and fleet.cap[i] > 0
-        if self.bad_probes >= least and sendable and self.suspect() and self.spared():
+        if enough and sendable and self.suspect() and self.spared():
             fleet.shut[i], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Beat) -> None:
@@ -572,8 +573,7 @@
     """
 
     HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
-    FALL, RISE = 0.7, 1.15  # a turn: quick enough for a burst, slow enough for late reports
-    LEAST, KEEP = 0.1, 0.95  # at the least; and of what is settled now: at 0.9 an idle fleet declined
+    FALL, RISE, LEAST = 0.7, 1.15, 0.1  # a turn: quick enough for a burst, slow enough for late reports
     LAG = 4  # turns until an order shows in the sums: a fall is counted from the share then in force
     STEP = 0.05  # smaller moves are not worth their lines
 
@@ -613,7 +613,7 @@
         settled = tries - self.voided[place]
         late = self.late[place] / settled if settled else self.LOW
         if late > self.HIGH:
-            least = max(self.LEAST, min(1.0, self.KEEP * self.settled / max(1.0, self.arrived)))
+            least = max(self.LEAST, min(1.0, self.settled / max(1.0, self.arrived)))
             share = max(least, min(share, before * min(self.FALL, good)))
         elif late < self.LOW:
             share = min(1.0, share * self.RISE)
