--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -148,14 +148,14 @@
         fleet, i, voided = self.fleet, self.place, min(sums.voided, sums.tries)
         self.fade()
         fleet.heard_us[i], fleet.news[i] = self.desk.now, True
-        good = sums.tries - voided if sums.mean_us > 0 else 0
+        good = sums.tries - voided if 0 < sums.mean_us < NO_CAP else 0
         fleet.tries[i] += good + voided
         fleet.voided[i] += voided
-        fleet.time_us[i] += good * sums.mean_us + voided * fleet.sla_us
+        fleet.time_us[i] += (good * sums.mean_us if good else 0.0) + voided * fleet.sla_us
         self.on_report(sums.report)
 
     def on_report(self, report: notes.LoadReport | None) -> None:
-        if report and report.inflight is not None:
+        if report and report.inflight is not None and 0 <= report.inflight < NO_CAP:
             self.fleet.reports[self.place] += 1
             self.fleet.held[self.place] += report.inflight
 
@@ -597,7 +597,7 @@
                 host, self.settled = self.fleet.index[note.host], self.settled + note.tries - note.voided
                 for place, table in enumerate(self.tables):
                     # By what its own proxies met: a zone behind a cut may serve its own all the same.
-                    if table.held_in(note.zone) and table.admits(self.fleet, host):
+                    if table.held_in(note.zone) and table.admits(self.fleet, host) and note.mean_us < NO_CAP:
                         self.tries[place] += note.tries
                         self.voided[place] += note.voided
                         self.late[place] += (note.tries - note.voided) * note.mean_us / self.fleet.sla_us
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -282,7 +282,9 @@
     return [notes.HostSums(9999, 0, 3, 1, 1.0, 0, None), notes.HostSums(100, 2, 0, 5, 0.0, 0, None),
             notes.Applied(77, 3, 0), notes.ProxyLeft(78), notes.TimerDue(rng.randrange(9)),
             notes.PeerMessage(1, b"?"), notes.ProbeResult(9999, Outcome.SILENT, 1, None),
-            notes.ProxyTraffic(50, 0, 0, 0, 0), notes.HostSums(101, 0, 1, 9, 1e12, 1, notes.LoadReport())]
+            notes.ProxyTraffic(50, 0, 0, 0, 0), notes.HostSums(101, 0, 1, 9, 1e12, 1, notes.LoadReport()),
+            notes.HostSums(100, 0, 4, 0, math.nan, 1, notes.LoadReport(inflight=math.nan)),
+            notes.HostSums(100, 1, 4, 0, math.inf, 1, notes.LoadReport(inflight=math.inf))]
 
 
 def generated_day(bench: Bench, rng: random.Random, steps: int) -> None:
