--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -134,7 +134,7 @@
             return
         voided, half, rescue = fleet.voided_part, fleet.most / 2, share * fleet.entering
         bound = self.TIPPING if fleet.time_part > self.LATE * fleet.sla_us else self.DROWNING
-        rush = voided > bound and fleet.crowding > self.SHUNS
+        rush = voided > (bound if fleet.crowding > self.SHUNS else self.DROWNING)
         drowning = rescue < max(fleet.able, half) and (rush or fleet.able + rescue < half)
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = 0.0 if cold and drowning else bears * fleet.kin_mean(i)
