--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -398,7 +398,7 @@
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
-        most, self.most_gap_us = facts.messages_most, facts.grace_us / 4
+        most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = -facts.messages_window_us
         self.tables = [] if facts.slices else tables_for(facts)  # the store keeps the tables of slices
