--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -25,6 +25,9 @@
 from plankroute.interface.notes import HostState, Outcome
 
 SECOND_US = 1_000_000
+ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
+MEMORY_US = 3 * SECOND_US  # half-life of sums: older say little, and the noise of two or three averages out
+LN_2 = 0.693  # such a sum holds what comes in MEMORY_US / LN_2
 
 
 class Beat(Enum):
@@ -60,7 +63,7 @@
         ready, heard = self.ready(), [i for i in self.playing() if self.tries[i] > 0]
         tries = sum(self.tries[i] for i in ready) or 1.0
         self.voided_part = sum(self.voided[i] for i in ready) / tries
-        self.crowding = tries * 0.693 * SECOND_US / MEMORY_US / max(1, self.proxies * len(ready))
+        self.crowding = tries * LN_2 * SECOND_US / MEMORY_US / max(1, self.proxies * len(ready))
         self.time_part = sum(self.time_us[i] for i in ready) / tries
         self.tries_a_weight = sum(self.tries[i] for i in heard) / (sum(self.weight[i] for i in heard) or 1.0)
         self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) // 2] if heard else 0
@@ -76,13 +79,9 @@
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
 
-MEMORY_US = 3 * SECOND_US  # half-life of sums: older say little, and the noise of two or three averages out
-
-
 class Host(Actor):
     """One host: its place in the list, whether it is cold, what is heard of it, and its health."""
 
-    ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
     VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the fleet's part, and in txns: together beyond chance
     STRAINED = 3.0  # times the fleet's voided part: where all void much a host that voids more is but fuller
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
@@ -199,7 +198,7 @@
     def silent(self) -> bool:
         """No word for a time in which most others spoke and a host of its weight is tried often."""
         fleet, i = self.fleet, self.place
-        per_us = fleet.tries_a_weight * fleet.counted(i) * 0.693 / MEMORY_US
+        per_us = fleet.tries_a_weight * fleet.counted(i) * LN_2 / MEMORY_US
         return (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
     def spared(self) -> bool:
@@ -394,7 +393,7 @@
         self.fleet, self.channel, self.limit = fleet, Channel(facts.head_lines), facts.queue_cap
         in_time = self.GRACE_PART * max(0, facts.grace_us - facts.way_most_us) / SECOND_US * facts.lines_per_s
         self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
-        self.round = (2 * self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # of answers
+        self.round = (2 * self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # lines
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
@@ -485,7 +484,8 @@
                     worth = abs(count - before) * part * strain
                     urgent = bare or fallen or not count
                     if i in self.withdrawn:  # nobody sends there: it goes last of all, sooner if it is back
-                        worth, urgent = worth * self.back(i), bare and self.back(i)
+                        back = fleet.state[i] is HostState.READY
+                        worth, urgent = worth * back, bare and back
                     yield Change(worth, urgent, table, i, count)
 
     def write_ordinary(self, changes: list[Change], room: float) -> None:
@@ -526,14 +526,11 @@
     def lift(self) -> None:
         """Once no table names it; a cold host stays out while proxies on older tables may name it too."""
         for i in sorted(self.withdrawn):
-            named = any(i in table.pushed for table in self.tables)
-            if self.back(i) and not named and (self.fleet.cap[i] == NO_CAP or not self.unbound):
+            back, named = self.fleet.state[i] is HostState.READY, any(i in t.pushed for t in self.tables)
+            if back and not named and (self.fleet.cap[i] == NO_CAP or not self.unbound):
                 self.withdrawn.discard(i)
                 self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
 
-    def back(self, host: int) -> bool:
-        return host in self.withdrawn and self.fleet.state[host] is HostState.READY
-
     def users(self, table: Table) -> list[int]:
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -1,7 +1,7 @@
 """The door of a steward: notes in by id, orders out, and the beats that wake its parts; no decision."""
 
 from plankroute.actors import Desk
-from plankroute.decide import Balancer, Beat, Fleet, Host, Levels, Publisher
+from plankroute.decide import ASK_AGAIN_US, Balancer, Beat, Fleet, Host, Levels, Publisher
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import StartFacts
 from plankroute.interface.notes import HostState, ListKind
@@ -44,7 +44,8 @@
                 return self.on_timer(note.token)
             case notes.HostSums() | notes.ProbeResult() if note.host in self.fleet.index:
                 self.desk.put(self.hosts[self.fleet.index[note.host]], note)
-                self.desk.put(self.levels, note)
+                if isinstance(note, notes.HostSums):
+                    self.desk.put(self.levels, note)
             case notes.ProxyTraffic():
                 self.desk.put(self.levels, note)
             case notes.ProxyJoined() | notes.ProxyLeft() | notes.Applied():
@@ -53,7 +54,7 @@
 
     def on_list(self, listed: notes.HostList) -> Beat | None:
         if listed.kind is ListKind.FAILED:
-            self.desk.out.append(orders.SetTimer(Host.ASK_AGAIN_US, self.ASK))
+            self.desk.out.append(orders.SetTimer(ASK_AGAIN_US, self.ASK))
             return None
         fleet = self.fleet
         entries = {entry.host: entry for entry in listed.entries}
