--- /dev/null
+++ b/plankroute/net/boot.py
@@ -0,0 +1,57 @@
+"""What operators hand a real steward: its addresses, limits, first list and settings."""
+
+from dataclasses import dataclass
+from typing import Any
+
+import orjson
+
+from plankroute.interface.facts import StartFacts
+from plankroute.start import StartError, microseconds, start_from
+
+USUAL_GATHER_MS = 5.0  # where the settings name no shortest time between batches
+USUAL_DIAL_MS = 300.0  # nor how long a connection may take to come up
+
+
+@dataclass(frozen=True, slots=True)
+class Boot:
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    descriptors: int
+    known: Any
+    facts: StartFacts
+    zones: tuple[str, ...]
+    kinds: tuple[str, ...]
+    products: tuple[str, ...]
+    gather_us: int
+    dial_us: int
+
+
+def address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return host, int(port)
+
+
+def read_boot(text: bytes) -> Boot:
+    """Raises StartError with one clear line."""
+    try:
+        raw = orjson.loads(text)
+        settings = raw["settings"]
+        facts, _ = start_from(settings)
+        return Boot(
+            name=str(raw["name"]), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
+            seed=int(str(raw["seed"]), 16), descriptors=int((raw.get("limits") or {}).get("sockets", 1024)),
+            known=raw.get("known"), facts=facts, zones=names(settings["dcs"]),
+            kinds=names(settings["machineTypes"]),
+            products=names([item["name"] for item in settings["classes"]]),
+            gather_us=microseconds(float(settings.get("quantumMs", USUAL_GATHER_MS))),
+            dial_us=microseconds(float((settings.get("caps") or {}).get("dialTimeoutMs", USUAL_DIAL_MS))))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise StartError(f"{type(error).__name__}: {error}") from error
+
+
+def names(listed: list[Any]) -> tuple[str, ...]:
+    return tuple(str(name) for name in listed)
--- /dev/null
+++ b/plankroute/net/discovery.py
@@ -0,0 +1,116 @@
+"""Discovery: the list of hosts, by a watch that is renewed whenever it ends or falls silent."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import orjson
+
+from plankroute.interface import notes, orders
+from plankroute.interface.notes import ListKind
+from plankroute.net.book import Book
+from plankroute.net.directory import Directory
+from plankroute.net.errors import CallFailed, Reached, Refused
+from plankroute.net.http import FAILURES, Answer, Call, Limits, fetch
+from plankroute.net.intake import LineCutter
+from plankroute.net.ring import Pool
+
+MEMBERS = "/catalog/members"
+MOST_LIST = 16 << 20  # bytes: some ten thousand hosts
+LIMITS = Limits(dial_s=1.0, quiet_s=3.0, most_body=MOST_LIST)  # a sign of life comes every 2 s
+AGAIN_S = (0.2, 0.5)  # pause before a new try, drawn anew: a list may count as told 6 s after it was due
+LIST_FAILED = notes.HostList(ListKind.FAILED, ())
+
+
+class Discovery:
+    """Watches by itself where lists are pushed; else as the core orders, which then hears of failures."""
+
+    def __init__(self, address: tuple[str, int], directory: Directory, book: Book, seed: int,
+                 by_order: bool, put: Callable[[notes.Note], None]) -> None:
+        self.address, self.directory, self.book, self.put = "%s:%d" % address, directory, book, put
+        self.by_order, self.chance = by_order, random.Random(seed)
+        self.revision = 0
+        self.tasks = set[asyncio.Task[None]]()
+        self.watching: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        if not self.by_order:
+            self.watching = asyncio.create_task(self.watch_always())
+
+    def obey(self, order: orders.AskList | orders.Subscribe) -> None:
+        match order:
+            case orders.AskList():
+                self.keep(asyncio.create_task(self.ask()))
+            case orders.Subscribe(on):
+                if self.watching and self.by_order:
+                    self.watching.cancel()
+                    self.watching = None
+                if on and self.watching is None:
+                    self.watching = asyncio.create_task(self.watch_once())
+
+    def keep(self, task: asyncio.Task[None]) -> None:
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def watch_always(self) -> None:
+        while True:
+            await self.watch()
+            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+
+    async def watch_once(self) -> None:
+        await self.watch()
+        self.put(LIST_FAILED)
+
+    async def ask(self) -> None:
+        answer = await fetch(self.address, MEMBERS, LIMITS)
+        body = answer.body if isinstance(answer, Answer) and answer.status == 200 else b""
+        if not body or not self.take(body):
+            self.book.count("dropped.lists")
+            self.book.log.event("warning", "list_failed", why=str(answer)[:200])
+            self.put(LIST_FAILED)
+
+    async def watch(self) -> None:
+        """Until it ends: by its end, its silence, or by what can't be read."""
+        call = Call(self.address, f"{MEMBERS}?watch=1&after={self.revision}", LIMITS)
+        cutter = LineCutter(MOST_LIST, Pool(2 * MOST_LIST))
+        why = CallFailed(Reached.BODY, "ended")
+        try:
+            async for piece in call.pieces():
+                if call.status != 200:
+                    why = CallFailed(call.reached, f"status {call.status}")
+                    break
+                if not all(self.line(line) for line in cutter.feed(piece)):
+                    why = CallFailed(call.reached, "what came can't be read")
+                    break
+        except FAILURES as error:
+            why = call.failed(error)
+        finally:
+            call.close()
+        self.book.count("dropped.watches")
+        self.book.log.event("warning", "watch_ended", reached=why.reached.value, why=why.why)
+
+    def line(self, line: bytes | Refused) -> bool:
+        return not isinstance(line, Refused) and (not line.strip() or self.take(line))
+
+    def take(self, text: bytes) -> bool:
+        """A list goes to the core; False where it can't be read, and the old one stays."""
+        refused = self.directory.refused
+        try:
+            read = self.directory.read(orjson.loads(text))
+        except orjson.JSONDecodeError:
+            read = None
+        if read is None:
+            self.book.refuse("discovery", "no list")
+            return False
+        revision, listed = read
+        if self.directory.refused > refused:
+            self.book.refuse("discovery", "entries that can't be read", entries=self.directory.refused - refused)
+        if listed.kind is ListKind.CHANGES and revision < self.revision:
+            self.revision = 0  # the list began anew: the next watch brings it whole
+            return False
+        self.revision = revision
+        self.book.count("taken.lists")
+        self.book.log.event("info", "list", revision=revision, kind=listed.kind.value,
+                            hosts=[[self.directory.uid(e.host), e.state.value] for e in listed.entries][:30])
+        self.put(listed)
+        return True
--- /dev/null
+++ b/plankroute/net/http.py
@@ -0,0 +1,84 @@
+"""Calls over HTTP/1.1, parsed by h11; what fails is a value that says how far the call had come."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import h11
+
+from plankroute.net.errors import CallFailed, Reached
+
+READ_AT_ONCE = 65536  # bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Time-outs in seconds, and the longest body in bytes."""
+
+    dial_s: float
+    quiet_s: float
+    most_body: int
+
+
+class Call:
+    """One GET on a connection of its own: closed at its end, since calls to one address are rare."""
+
+    def __init__(self, address: str, target: str, limits: Limits) -> None:
+        self.address, self.target, self.limits = address, target, limits
+        self.reached, self.status = Reached.NOTHING, 0
+        self.machine = h11.Connection(h11.CLIENT)
+        self.writer: asyncio.StreamWriter | None = None
+
+    def failed(self, error: BaseException) -> CallFailed:
+        why = f"{type(error).__name__}: {error}".strip(": ")
+        return CallFailed(self.reached, why, isinstance(error, TimeoutError))
+
+    async def pieces(self) -> AsyncIterator[bytes]:
+        """The body as it comes; raises OSError, TimeoutError or h11.ProtocolError."""
+        host, _, port = self.address.rpartition(":")
+        async with asyncio.timeout(self.limits.dial_s):
+            reader, self.writer = await asyncio.open_connection(host, int(port), limit=READ_AT_ONCE)
+        self.reached = Reached.CONNECTED
+        head = h11.Request(method="GET", target=self.target,
+                           headers=[("Host", self.address), ("Connection", "close")])
+        self.writer.write((self.machine.send(head) or b"") + (self.machine.send(h11.EndOfMessage()) or b""))
+        self.reached = Reached.ASKED
+        while True:
+            event = self.machine.next_event()
+            if event is h11.NEED_DATA:
+                async with asyncio.timeout(self.limits.quiet_s):
+                    self.machine.receive_data(await reader.read(READ_AT_ONCE))
+            elif isinstance(event, h11.Response):
+                self.reached, self.status = Reached.HEAD, event.status_code
+            elif isinstance(event, h11.Data):
+                self.reached = Reached.BODY
+                yield bytes(event.data)
+            elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
+                return
+
+    def close(self) -> None:
+        if self.writer:
+            self.writer.transport.abort()
+
+
+FAILURES = (OSError, TimeoutError, h11.ProtocolError, ValueError)
+
+
+async def fetch(address: str, target: str, limits: Limits) -> Answer | CallFailed:
+    call, body = Call(address, target, limits), bytearray()
+    try:
+        async for piece in call.pieces():
+            body += piece
+            if len(body) > limits.most_body:
+                return CallFailed(call.reached, "body too long")
+    except FAILURES as error:
+        return call.failed(error)
+    finally:
+        call.close()
+    return Answer(call.status, bytes(body))
--- /dev/null
+++ b/plankroute/net/probes.py
@@ -0,0 +1,64 @@
+"""Probes to hosts, where they are permitted: each call becomes one note on how it ended."""
+
+import asyncio
+from collections.abc import Callable
+
+from plankroute.interface import notes
+from plankroute.interface.facts import ReportWay, StartFacts
+from plankroute.interface.notes import LoadReport, Outcome
+from plankroute.net.book import Book
+from plankroute.net.clock import Clock
+from plankroute.net.directory import Directory
+from plankroute.net.errors import CallFailed, Reached
+from plankroute.net.http import Answer, Limits, fetch
+from plankroute.net.wire import read_report
+
+AT_ONCE = 64  # calls under way: a descriptor each
+MOST_BODY = 4096  # bytes: a report is one line
+
+
+class Prober:
+    """A connection a probe, closed after it: hosts are probed once a second at most, and few of them."""
+
+    def __init__(self, facts: StartFacts, directory: Directory, clock: Clock, book: Book, dial_us: int,
+                 put: Callable[[notes.Note], None]) -> None:
+        self.directory, self.clock, self.book, self.put = directory, clock, book, put
+        self.target = "/ping" if facts.reports is ReportWay.NONE else "/_load"
+        # Hosts serve probes like txns: an answer may take as long again as a connection may.
+        self.limits = Limits(dial_us / 1e6, 2 * dial_us / 1e6, MOST_BODY)
+        self.busy: dict[int, asyncio.Task[None]] = {}
+        self.may_probe = facts.may_probe
+
+    def probe(self, host: int) -> None:
+        if not self.may_probe or host in self.busy or len(self.busy) >= AT_ONCE:
+            self.book.count("dropped.probes")
+            return
+        self.busy[host] = asyncio.create_task(self.call(host))
+
+    async def call(self, host: int) -> None:
+        asked_us = self.clock.now()
+        self.book.count("sent.probes")
+        try:
+            async with asyncio.timeout(self.limits.dial_s + self.limits.quiet_s):
+                answer = await fetch(self.directory.address(host), self.target, self.limits)
+        except TimeoutError as error:
+            answer = CallFailed(Reached.ASKED, str(error), timed_out=True)
+        finally:
+            del self.busy[host]
+        outcome, report = judge_call(answer)
+        self.book.count(f"answered.probes.{outcome.name.lower()}")
+        if outcome is not Outcome.ANSWERED:
+            self.book.log.event("info", "probe_bad", host=self.directory.uid(host), outcome=outcome.value,
+                                how=str(answer))
+        self.put(notes.ProbeResult(host, outcome, self.clock.now() - asked_us, report))
+
+
+def judge_call(answer: Answer | CallFailed) -> tuple[Outcome, LoadReport | None]:
+    """How the call ended, in the words of the notes."""
+    if isinstance(answer, CallFailed):
+        if answer.reached is Reached.NOTHING or not answer.timed_out:
+            return Outcome.UNREACHED, None
+        return Outcome.SILENT, None
+    if answer.status != 200:
+        return Outcome.ERROR, None
+    return Outcome.ANSWERED, read_report(answer.body)
--- /dev/null
+++ b/plankroute/net/route.py
@@ -0,0 +1,81 @@
+"""Route: notes are gathered into a batch, the core decides, its orders go their ways."""
+
+import asyncio
+import traceback
+from collections.abc import Callable
+
+from plankroute.interface import notes, orders
+from plankroute.messages import Message, Player
+from plankroute.net.book import Book
+from plankroute.net.clock import Alarms, Clock
+from plankroute.steward import Steward
+
+
+class Router:
+    """One batch at a time; batches follow no closer than operators state, as in the simulator."""
+
+    def __init__(self, steward: Steward, player: Player, clock: Clock, book: Book, gather_us: int) -> None:
+        self.steward, self.player, self.clock, self.book = steward, player, clock, book
+        self.gather_us, self.last_us = gather_us, 0
+        self.alarms, self.pending = Alarms(), list[notes.Note]()
+        self.handle: asyncio.TimerHandle | None = None
+        self.handle_us = 0
+        self.send: Callable[[Message], None] = lambda message: None
+        self.probe: Callable[[int], None] = lambda host: None
+        self.ask: Callable[[orders.AskList | orders.Subscribe], None] = lambda order: None
+
+    def put(self, note: notes.Note) -> None:
+        self.pending.append(note)
+        self.wake_at(self.last_us + self.gather_us)
+
+    def wake_at(self, due_us: int) -> None:
+        """One timer of the loop serves both waiting notes and the core's timers."""
+        if self.handle and self.handle_us <= due_us:
+            return
+        if self.handle:
+            self.handle.cancel()
+        loop = asyncio.get_running_loop()
+        self.handle_us = due_us
+        self.handle = loop.call_later(max(0, due_us - self.clock.now()) / 1e6, self.flush)
+
+    def flush(self) -> None:
+        self.handle = None
+        now = self.clock.now()
+        due = self.alarms.due(now)
+        batch, self.pending = self.pending + [notes.TimerDue(token) for token in due], []
+        if batch:
+            self.last_us = now
+            self.carry_out(now, self.decide(now, batch))
+        if (next_us := self.alarms.next_us()) is not None:
+            self.wake_at(max(next_us, self.last_us))
+
+    def decide(self, now: int, batch: list[notes.Note]) -> list[orders.Order]:
+        """A failure of a decision is logged with its place; the steward goes on with the next batch."""
+        self.book.count("core.batches")
+        self.book.count("core.notes", len(batch))
+        for note in batch:
+            self.player.hear(note)
+        try:
+            return self.steward.deliver(now, batch)
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            self.book.count("core.failed")
+            self.book.log.event("error", "core_failed", why=f"{type(error).__name__}: {error}",
+                                place=f"{place.name}:{place.lineno}")
+            return []
+
+    def carry_out(self, now: int, decided: list[orders.Order]) -> None:
+        for message in self.player.play(decided):
+            self.send(message)
+        for order in decided:
+            match order:
+                case orders.SetTimer(after_us, token):
+                    self.alarms.set(now + after_us, token)
+                case orders.Probe(host):
+                    self.probe(host)
+                case orders.AskList() | orders.Subscribe():
+                    self.ask(order)
+                case orders.Log(text):
+                    self.book.log.event("info", "core", text=text)
+                case orders.Tell():
+                    self.book.say_once("dropped.tell")  # the protocol has no messages between stewards
--- /dev/null
+++ b/plankroute/net/send.py
@@ -0,0 +1,29 @@
+"""Send: messages become bytes on their proxy's stream."""
+
+from plankroute.messages import Message
+from plankroute.net.book import Book
+from plankroute.net.peers import Listener
+from plankroute.net.wire import Writer
+
+
+class Sender:
+    def __init__(self, listener: Listener, writer: Writer, book: Book) -> None:
+        self.listener, self.writer, self.book = listener, writer, book
+
+    def send(self, message: Message) -> None:
+        peer = self.listener.streams.get(message.proxy)
+        if peer is None:
+            self.book.count("dropped.messages")
+            return
+        data = self.writer.write(message)
+        if not peer.send(data):
+            # It reads nothing, or its connection is gone: what follows would rest on what it never got.
+            self.book.count("dropped.messages")
+            self.book.log.event("error", "stream_overrun", proxy=message.proxy, waiting=peer.out.size)
+            peer.reset()
+            return
+        if message.mark is not None:
+            peer.party.marks.append(message.mark)
+        self.book.count("sent.messages")
+        self.book.count("sent.lines", message.cost())
+        self.book.count("sent.bytes", len(data))
--- /dev/null
+++ b/plankroute/net/service.py
@@ -0,0 +1,94 @@
+"""The real steward: puts its parts together, starts, and ends when it is told."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+
+from plankroute.interface.notes import HostList, ListKind
+from plankroute.messages import Player
+from plankroute.net.admit import Admission
+from plankroute.net.book import Book, Log, to_stderr
+from plankroute.net.boot import Boot, read_boot
+from plankroute.net.clock import Clock
+from plankroute.net.directory import Directory
+from plankroute.net.discovery import Discovery
+from plankroute.net.peers import Listener
+from plankroute.net.probes import Prober
+from plankroute.net.route import Router
+from plankroute.net.send import Sender
+from plankroute.net.wire import Writer
+from plankroute.start import StartError
+from plankroute.steward import Steward
+
+SWEEP_S = 1.0  # between looks at strangers
+FINISH_S = 0.2  # for the last log lines: well within what operators leave after SIGTERM
+
+
+class Service:
+    def __init__(self, boot: Boot, book: Book) -> None:
+        self.boot, self.book = boot, book
+        clock = Clock()
+        self.directory = Directory(clock, boot.zones, boot.kinds, boot.products)
+        self.router = Router(Steward(boot.facts, boot.seed), Player(len(boot.products)), clock, book,
+                             boot.gather_us)
+        put = self.router.put
+        admission = Admission(self.directory, boot.facts.proxies)
+        self.listener = Listener(admission, book, boot.descriptors, put)
+        self.discovery = Discovery(boot.discovery, self.directory, book, boot.seed,
+                                   boot.facts.must_subscribe, put)
+        self.router.send = Sender(self.listener, Writer(boot.products, self.directory.uid), book).send
+        self.router.probe = Prober(boot.facts, self.directory, clock, book, boot.dial_us, put).probe
+        self.router.ask = self.discovery.obey
+
+    async def run(self) -> None:
+        loop, stop = asyncio.get_running_loop(), asyncio.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(signal.SIGUSR1, self.book.print)
+        self.first_list()
+        self.discovery.start()
+        await self.listener.open(self.boot.listen)
+        self.book.log.event("info", "listening", address="%s:%d" % self.boot.listen,
+                            hosts=len(self.directory.hosts))
+        sweeping = asyncio.create_task(self.sweep())
+        await stop.wait()
+        sweeping.cancel()
+        self.listener.close()
+
+    def first_list(self) -> None:
+        """The core has the list it is handed before anybody can ask whether the steward is alive."""
+        read = self.directory.read(self.boot.known, ListKind.CACHED)
+        self.discovery.revision, listed = read or (0, HostList(ListKind.CACHED, ()))
+        if read is None:
+            self.book.refuse("discovery", "no known list")
+        self.router.put(listed)
+        self.router.flush()
+
+    async def sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_S)
+            self.listener.sweep()
+
+
+def main() -> int:
+    try:
+        with open(os.environ["GW_CONFIG"], "rb") as file:
+            boot = read_boot(file.read())
+    except (KeyError, OSError, StartError) as error:
+        print(f"plankroute: GW_CONFIG can't be used: {type(error).__name__}: {error}", file=sys.stderr)
+        return 2
+    log = Log(boot.name, to_stderr)
+    book = Book(log)
+    try:
+        gc.freeze()
+        asyncio.run(Service(boot, book).run())
+    except OSError as error:
+        log.event("error", "start_failed", why=str(error))
+        log.finish(FINISH_S)
+        return 1
+    book.print()
+    log.event("info", "ended")
+    log.finish(FINISH_S)
+    return 0
--- /dev/null
+++ b/plankroute/net/wire.py
@@ -0,0 +1,205 @@
+"""The codec of lines at the steward's address: bytes to what was said, messages to bytes. Only here: wire words."""
+
+import math
+import re
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from plankroute.interface.notes import LoadReport
+from plankroute.messages import Message, Part
+from plankroute.net.errors import Refused, Stage
+from plankroute.start import load_report, microseconds
+
+MOST_LINE = 1 << 20  # bytes, by the protocol
+MOST_PARTS = 64  # of a message, by the protocol
+ROWS_A_PART = 4096  # keeps a part far below the longest line
+MOST_COUNT = 2**32 - 1  # no count of a report's span comes near
+MOST_MS = 86_400_000.0  # a day: longer spans are nonsense
+DIGITS = re.compile(r"[0-9]{1,10}")
+NUMBER = re.compile(r"[0-9]*\.?[0-9]+(?:[eE][+-]?[0-9]{1,3})?")
+REPORT_FIELDS = {"inflight": "inflight", "queue": "queue", "util": "util", "latency_ms": "service_us",
+                 "qps": "rate", "eps": "error_rate"}
+ALIVE = b"alive\r\n"
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """Somebody asks whether the steward is alive."""
+
+
+@dataclass(frozen=True, slots=True)
+class CollectorSaid:
+    """A collector tells its zone."""
+
+    zone: str
+
+
+@dataclass(frozen=True, slots=True)
+class HelloSaid:
+    proxy: int
+    zone: str
+    usual_rate: float
+    fresh: bool
+
+
+@dataclass(frozen=True, slots=True)
+class AppliedSaid:
+    proxy: int
+    serial: int
+    took_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class HostSaid:
+    """What the proxies of a zone met at a host."""
+
+    zone: str
+    host: str
+    tries: int
+    voided: int
+    mean_us: int
+    span_us: int
+    report: LoadReport | None
+
+
+@dataclass(frozen=True, slots=True)
+class TrafficSaid:
+    proxy: int
+    product: str
+    arrived: int
+    voided: int
+    span_us: int
+
+
+Said = Asked | CollectorSaid | HelloSaid | AppliedSaid | HostSaid | TrafficSaid
+
+
+class Unreadable(ValueError):
+    """Raised and caught in this codec only."""
+
+
+class Words:
+    """The `name=value` words of one line, each read as what it must be."""
+
+    def __init__(self, words: list[str]) -> None:
+        self.values: dict[str, str] = {}
+        for word in words:
+            name, equals, value = word.partition("=")
+            if not equals or not name or name in self.values:
+                raise Unreadable(f"word {word[:40]!r}")
+            self.values[name] = value
+
+    def text(self, name: str) -> str:
+        if not (value := self.values.get(name)):
+            raise Unreadable(f"no {name}")
+        return value
+
+    def count(self, name: str) -> int:
+        if not DIGITS.fullmatch(text := self.text(name)) or int(text) > MOST_COUNT:
+            raise Unreadable(f"{name} is no count")
+        return int(text)
+
+    def number(self, name: str, most: float) -> float:
+        return number(self.text(name), name, most)
+
+    def time_us(self, name: str) -> int:
+        return microseconds(self.number(name, MOST_MS))
+
+    def flag(self, name: str) -> bool:
+        if (text := self.text(name)) not in ("0", "1"):
+            raise Unreadable(f"{name} is neither yes nor no")
+        return text == "1"
+
+    def report(self, name: str) -> LoadReport | None:
+        if name not in self.values:
+            return None
+        named = [pair.partition(":") for pair in self.values[name].split(",")]
+        return load_report((REPORT_FIELDS[key], number(value, key, math.inf))
+                           for key, _, value in named if key in REPORT_FIELDS)
+
+
+def number(text: str, name: str, most: float) -> float:
+    value = float(text) if NUMBER.fullmatch(text) else math.nan
+    if not (math.isfinite(value) and 0 <= value <= most):
+        raise Unreadable(f"{name} is no figure in its range")
+    return value
+
+
+READERS: dict[str, Callable[[Words], Said]] = {
+    "probe": lambda words: Asked(),
+    "agent": lambda words: CollectorSaid(words.text("locality")),
+    "hello": lambda words: HelloSaid(words.count("node"), words.text("locality"),
+                                     words.number("w", MOST_COUNT), words.flag("cold")),
+    "ack": lambda words: AppliedSaid(words.count("node"), words.count("nonce"), words.time_us("latency")),
+    "outcomes": lambda words: HostSaid(
+        words.text("locality"), words.text("endpoint"), words.count("total"), words.count("errors"),
+        words.time_us("rtt") if "rtt" in words.values else 0, words.time_us("interval"), words.report("metrics")),
+    "demand": lambda words: TrafficSaid(words.count("node"), words.text("route"), words.count("total"),
+                                        words.count("errors"), words.time_us("interval")),
+}
+
+
+def read_line(line: bytes) -> Said | Refused:
+    """What a line without its LF says; its CR must be there."""
+    if not line.endswith(b"\r"):
+        return Refused(Stage.READ, "no CRLF at the end")
+    try:
+        kind, *words = line[:-1].decode("ascii").split(" ")
+        if (reader := READERS.get(kind)) is None:
+            return Refused(Stage.READ, "kind not known")
+        return reader(Words(words))
+    except UnicodeDecodeError:
+        return Refused(Stage.READ, "not ASCII")
+    except Unreadable as error:
+        return Refused(Stage.READ, str(error))
+
+
+class Writer:
+    """Messages as lines; `products` are their names by place, `uid` tells a host's name."""
+
+    def __init__(self, products: tuple[str, ...], uid: Callable[[int], str]) -> None:
+        self.products, self.uid = products, uid
+
+    def write(self, message: Message) -> bytes:
+        """More parts than one message may have go on in a second message."""
+        parts = [self.part(chunk) for part in message.parts for chunk in chunks(part)] or [[]]
+        for name, out in (("drop", True), ("undrop", False)):
+            if hosts := [self.uid(host) for host, held in message.held.items() if held is out]:
+                parts[-1].append(f"{name}={','.join(hosts)}")
+        if message.mark is not None:
+            parts[-1].append(f"stamp={message.mark}")
+        last = len(parts) - 1
+        for place, words in enumerate(parts):
+            if place != last and (place + 1) % MOST_PARTS:
+                words.append("part=1")
+        return "".join(" ".join(["push", *words]) + "\r\n" for words in parts).encode("ascii")
+
+    def part(self, part: Part) -> list[str]:
+        words = []
+        if len(part.products) < len(self.products):
+            words.append("for=" + "+".join(self.products[place] for place in part.products))
+        if part.whole:
+            words.append("replace=1")
+        if part.lines:
+            words.append("rows=" + ",".join(f"{self.uid(host)}:{weight:.9g}"
+                                            for host, weight in part.lines.items()))
+        if part.level:
+            words += [f"gate={part.level[0]:.9g}", f"again={int(part.level[1])}"]
+        return words
+
+
+def chunks(part: Part) -> Iterator[Part]:
+    lines = list(part.lines.items())
+    yield Part(part.products, part.whole, dict(lines[:ROWS_A_PART]), part.level)
+    for at in range(ROWS_A_PART, len(lines), ROWS_A_PART):
+        yield Part(part.products, False, dict(lines[at:at + ROWS_A_PART]))
+
+
+def read_report(body: bytes) -> LoadReport | None:
+    """The load report that a probe's answer carries, if it does."""
+    form, _, rest = body.decode("ascii", "replace").strip().partition(" ")
+    if form != "TEXT":
+        return None
+    pairs = [pair.strip().partition("=") for pair in rest.split(",")]
+    return load_report((REPORT_FIELDS[name], float(value)) for name, _, value in pairs
+                       if name in REPORT_FIELDS and NUMBER.fullmatch(value))
--- a/plankroute/simhost/__main__.py
+++ b/plankroute/simhost/__main__.py
@@ -9,7 +9,7 @@
 from plankroute.interface.notes import Note
 from plankroute.simwire.frames import WireError, read_batch, write_reply
 from plankroute.simwire.records import Decoder, Delivered, Destroyed, Enlisted, encode_failure, encode_order
-from plankroute.simwire.start import microseconds
+from plankroute.start import microseconds
 
 
 class Host:
--- a/plankroute/simwire/records.py
+++ b/plankroute/simwire/records.py
@@ -1,6 +1,6 @@
 """Records of the wire: events become notes, orders become actions."""
 
-import math
+import json
 import struct
 from collections.abc import Iterator
 from dataclasses import dataclass
@@ -8,7 +8,7 @@
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import StartFacts
 from plankroute.simwire.frames import WireError
-from plankroute.simwire.start import microseconds, parse_settings
+from plankroute.start import StartError, finite, load_report, microseconds, start_from
 
 ALL_TABLES = 0xFFFF
 ALL_PEERS = 0xFFFF
@@ -55,11 +55,6 @@
 Event = Enlisted | Destroyed | Delivered
 
 
-def finite(value: float) -> float:
-    """A figure that is no number, or is negative, says nothing: 0."""
-    return value if math.isfinite(value) and value > 0 else 0.0
-
-
 class Decoder:
     """Holds what outlives a batch: the numbered lists, and each instance's report fields."""
 
@@ -94,15 +89,14 @@
         if not count:
             return None, at
         values = struct.unpack(f"<{count}f", raw)
-        named = {}
-        for name, value in zip(self.report_fields.get(instance, ()), values):
-            if name and math.isfinite(value) and value >= 0:
-                named[name] = value * 1000 if name == "service_us" else value
-        return notes.LoadReport(**named), at + len(raw)
+        return load_report(zip(self.report_fields.get(instance, ()), values)), at + len(raw)
 
     def on_enlist(self, values, body, at):
         instance, seed, size = values
-        facts, self.report_fields[instance] = parse_settings(self.tail(body, at, size))
+        try:
+            facts, self.report_fields[instance] = start_from(json.loads(self.tail(body, at, size)))
+        except (ValueError, StartError) as error:
+            raise WireError(f"the settings can't be read: {error}") from error
         return Enlisted(instance, seed, facts), at + size
 
     def on_destroy(self, values, body, at):
--- a/plankroute/simwire/start.py
+++ b/plankroute/start.py
@@ -1,12 +1,12 @@
-"""The settings text of an instance's first message, as start facts."""
+"""The settings that operators hand a steward, as start facts: what both the simulator and the sockets need."""
 
-import json
 import math
+from collections.abc import Iterable
 from typing import Any
 
 from plankroute.interface.facts import (LevelUnit, Prices, ProductFacts, Repeat, ReportWay, Scope,
                                         StartFacts)
-from plankroute.simwire.frames import WireError
+from plankroute.interface.notes import LoadReport
 
 REPEATS = {"retryable": Repeat.INQUIRY, "dedup": Repeat.REFERENCED, "fragile": Repeat.ONCE_ONLY}
 SCOPES = {"all": Scope.ALL, "zone": Scope.ZONE, "cell": Scope.CELL}
@@ -20,19 +20,31 @@
     return round(ms * 1000) if math.isfinite(ms) else 0
 
 
-def parse_settings(text: bytes) -> tuple[StartFacts, tuple[str, ...]]:
-    """The start facts, and the names of a load report's fields in their order."""
-    try:
-        raw = json.loads(text)
-    except ValueError as error:
-        raise WireError(f"settings are not JSON: {error}") from error
+def finite(value: float) -> float:
+    """A figure that is no number, or is negative, says nothing: 0."""
+    return value if math.isfinite(value) and value > 0 else 0.0
+
+
+def load_report(named: Iterable[tuple[str, float]]) -> LoadReport:
+    """A report by our names; what is not known, negative or no number is left out."""
+    kept = {name: value * 1000 if name == "service_us" else value for name, value in named
+            if name and math.isfinite(value) and value >= 0}
+    return LoadReport(**kept)
+
+
+class StartError(Exception):
+    """What a steward is handed at its start can't be read."""
+
+
+def start_from(raw: Any) -> tuple[StartFacts, tuple[str, ...]]:
+    """The start facts, and our names of a load report's fields in their order ("" for those not known)."""
     if not isinstance(raw, dict):
-        raise WireError("settings are not a JSON object")
+        raise StartError("settings are not a JSON object")
     try:
         fields = tuple(REPORT_FIELDS.get(name, "") for name in group(raw, "report").get("fields") or ())
         return start_facts(raw), fields
     except (TypeError, ValueError, AttributeError) as error:
-        raise WireError(f"settings hold a value of the wrong kind: {error}") from error
+        raise StartError(f"settings hold a value of the wrong kind: {error}") from error
 
 
 def group(raw: dict[str, Any], name: str) -> dict[str, Any]:
