--- a/plankroute/net/book.py
+++ b/plankroute/net/book.py
@@ -9,6 +9,8 @@
 
 import orjson
 
+from plankroute.interface.notes import LoadReport
+
 WAITING_LINES = 1000  # log lines held for a slow reader; more are dropped and counted
 LINES_A_SECOND = 20  # of one event: the rest are counted, so that a storm can't fill the log
 
@@ -83,5 +85,12 @@
             self.once.add(event)
             self.log.event("warning", event, **facts)
 
+    def count_report(self, report: LoadReport) -> None:
+        """Guards against reports whose names nobody knows: the steward would steer without them, unseen."""
+        if report == LoadReport():
+            self.say_once("dropped.reports")
+        else:
+            self.counts["taken.reports"] += 1
+
     def print(self) -> None:
         self.log.event("info", "counters", log_dropped=self.log.dropped, **dict(sorted(self.counts.items())))
--- a/plankroute/net/peers.py
+++ b/plankroute/net/peers.py
@@ -11,7 +11,7 @@
 from plankroute.net.intake import LineCutter
 from plankroute.net.relay import Outlet
 from plankroute.net.ring import Pool
-from plankroute.net.wire import ALIVE, MOST_LINE, Asked, CollectorSaid, Said, read_line
+from plankroute.net.wire import ALIVE, MOST_LINE, Asked, CollectorSaid, HostSaid, Said, read_line
 
 READ_AT_ONCE = 65536  # bytes
 ALL_RINGS = 48 << 20  # bytes of all rings together: a quarter of a small machine
@@ -102,6 +102,8 @@
 
     def accept(self, peer: Peer, said: Said, note: notes.Note | None) -> None:
         self.book.count(f"taken.{type(said).__name__.removesuffix('Said').lower()}")
+        if isinstance(said, HostSaid) and said.report:
+            self.book.count_report(said.report)
         if isinstance(said, Asked):
             peer.outlet.send(ALIVE)
         if isinstance(said, CollectorSaid):
--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -47,6 +47,8 @@
             del self.busy[host]
         outcome, report = judge_call(answer)
         self.book.count(f"answered.probes.{outcome.name.lower()}")
+        if report:
+            self.book.count_report(report)
         if outcome is not Outcome.ANSWERED:
             self.book.log.event("info", "probe_bad", host=self.directory.uid(host), outcome=outcome.value,
                                 how=str(answer))
--- a/plankroute/net/wire.py
+++ b/plankroute/net/wire.py
@@ -8,6 +8,7 @@
 from plankroute.interface.notes import LoadReport
 from plankroute.messages import Message, Part
 from plankroute.net.errors import Refused, Stage
+from plankroute.start import REPORT_FIELDS as SETTINGS_FIELDS
 from plankroute.start import load_report, microseconds
 
 MOST_LINE = 1 << 20  # bytes, by the protocol
@@ -17,8 +18,9 @@
 MOST_MS = 86_400_000.0  # a day: longer spans are nonsense
 DIGITS = re.compile(r"[0-9]{1,10}")
 NUMBER = re.compile(r"[0-9]*\.?[0-9]+(?:[eE][+-]?[0-9]{1,3})?")
-REPORT_FIELDS = {"inflight": "inflight", "queue": "queue", "util": "util", "latency_ms": "service_us",
-                 "qps": "rate", "eps": "error_rate"}
+# Guards against load reports read as empty: hosts name figures as the settings do, or as the protocol's page.
+REPORT_FIELDS = SETTINGS_FIELDS | {"inflight": "inflight", "queue": "queue", "util": "util",
+                                   "latency_ms": "service_us", "qps": "rate", "eps": "error_rate"}
 ALIVE = b"alive\r\n"
 
 
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -226,6 +226,17 @@
     assert wire.read_report(b"<html>") is None
 
 
+def test_load_reports_by_the_settings_names_and_by_the_protocols():
+    named = [b"rif:7,q:2,busy:0.61,lat_ms:3.5", b"inflight:7,queue:2,util:0.61,latency_ms:3.5"]
+    for said in [wire.read_line(LINES[3].rpartition(b"=")[0] + b"=" + figures + b"\r") for figures in named]:
+        assert said.report == LoadReport(inflight=7.0, queue=2.0, util=0.61, service_us=3500.0)
+    assert wire.read_report(b"TEXT rif=7, busy=0.61") == LoadReport(inflight=7.0, util=0.61)
+    book = Book(Log("n", lambda line: None))
+    for report in (LoadReport(), LoadReport(inflight=0.0)):
+        book.count_report(report)
+    assert book.counts == {"dropped.reports": 1, "taken.reports": 1}
+
+
 @pytest.mark.parametrize("answer, outcome", [
     (Answer(200, b""), Outcome.ANSWERED), (Answer(503, b""), Outcome.ERROR),
     (CallFailed(Reached.NOTHING, "", timed_out=True), Outcome.UNREACHED),
