Silent streams count as left until they speak again; streams, peers and listener are units of their own

Ruled out: acks of others would free them, but nobody who is bound answers any more. Change: net/streams.py tells the core that a proxy left when its stream owes an answer and has said nothing for thrice the longest regular way (channel and path); the connection stays, and the next line joins the proxy anew.

--- a/plankroute/net/admit.py
+++ b/plankroute/net/admit.py
@@ -41,7 +41,7 @@
 
     def __init__(self, directory: Directory, proxies: int) -> None:
         self.directory, self.proxies = directory, proxies
-        self.joined = set[int]()  # kept by the listener: proxies with a stream
+        self.joined = set[int]()  # kept by the streams: proxies that are joined
 
     def admit(self, party: Party, said: wire.Said) -> notes.Note | Refused | None:
         """None where nothing is to be noted."""
--- a/plankroute/net/send.py
+++ b/plankroute/net/send.py
@@ -2,16 +2,16 @@
 
 from plankroute.messages import Message
 from plankroute.net.book import Book
-from plankroute.net.peers import Listener
+from plankroute.net.streams import Streams
 from plankroute.net.wire import Writer
 
 
 class Sender:
-    def __init__(self, listener: Listener, writer: Writer, book: Book) -> None:
-        self.listener, self.writer, self.book = listener, writer, book
+    def __init__(self, streams: Streams, writer: Writer, book: Book) -> None:
+        self.streams, self.writer, self.book = streams, writer, book
 
     def send(self, message: Message) -> None:
-        peer = self.listener.streams.get(message.proxy)
+        peer = self.streams.by_proxy.get(message.proxy)
         if peer is None:
             self.book.count("dropped.messages")
             return
@@ -23,7 +23,7 @@
             peer.outlet.reset()
             return
         if message.mark is not None:
-            peer.party.marks.append(message.mark)
+            peer.expect(message.mark)
         self.book.count("sent.messages")
         self.book.count("sent.lines", message.cost())
         self.book.count("sent.bytes", len(data))
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -16,10 +16,11 @@
 from plankroute.net.clock import Clock
 from plankroute.net.directory import Directory
 from plankroute.net.discovery import Discovery
-from plankroute.net.peers import Listener
+from plankroute.net.listener import Listener
 from plankroute.net.probes import Prober
 from plankroute.net.route import Router
 from plankroute.net.send import Sender
+from plankroute.net.streams import Streams
 from plankroute.net.wire import Writer
 from plankroute.start import StartError
 from plankroute.steward import Steward
@@ -38,10 +39,12 @@
                              boot.gather_us)
         put = self.router.put
         admission = Admission(self.directory, boot.facts.proxies)
-        self.listener = Listener(admission, book, boot.descriptors, put)
+        answer_s = boot.facts.queue_cap / max(1.0, boot.facts.lines_per_s) + boot.facts.way_most_us / 1e6
+        streams = Streams(admission.joined, book, answer_s, put)
+        self.listener = Listener(admission, streams, book, boot.descriptors, put)
         self.discovery = Discovery(boot.discovery, self.directory, book, boot.seed,
                                    boot.facts.must_subscribe, put)
-        self.router.send = Sender(self.listener, Writer(boot.products, self.directory.uid), book).send
+        self.router.send = Sender(streams, Writer(boot.products, self.directory.uid), book).send
         self.router.probe = Prober(boot.facts, self.directory, clock, book, boot.dial_us, put).probe
         self.router.ask = self.discovery.obey
 
--- /dev/null
+++ b/plankroute/net/streams.py
@@ -0,0 +1,63 @@
+"""Streams: which connection is whose, and which proxies are joined, as the core is told."""
+
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from plankroute.interface import notes
+from plankroute.net.book import Book
+from plankroute.net.peers import Peer
+
+
+class Streams:
+    """One a proxy: the newest. One that owes answers and says nothing counts as left until it speaks again.
+
+    Guards against a cut, which ends no connection: lines written to silent streams would wait in the
+    channel's books for good, and leave no room for the proxies that come back. The connection stays, since
+    one that the steward ends is held against it. Harm: a proxy that stands still for longer gets no orders.
+    """
+
+    PATIENCE = 3.0  # times the longest regular way: a slow channel and a stalled proxy answer within it
+
+    def __init__(self, joined: set[int], book: Book, answer_s: float,
+                 put: Callable[[notes.Note], None]) -> None:
+        self.joined, self.book, self.put = joined, book, put
+        self.silent_s = self.PATIENCE * answer_s
+        self.by_proxy: dict[int, Peer] = {}
+        self.hellos: dict[Peer, notes.ProxyJoined] = {}
+
+    def join(self, peer: Peer, hello: notes.ProxyJoined) -> None:
+        """A new stream may come before the old one is seen to end: that end is then no leaving."""
+        if old := self.by_proxy.get(hello.proxy):
+            self.put(notes.ProxyLeft(hello.proxy))
+            del self.hellos[old]
+            old.outlet.reset()
+        self.by_proxy[hello.proxy], self.hellos[peer] = peer, hello
+        self.joined.add(hello.proxy)
+        self.book.log.event("info", "proxy_joined", proxy=hello.proxy, again=old is not None)
+        self.put(hello)
+
+    def end(self, peer: Peer, why: str) -> None:
+        if hello := self.hellos.pop(peer, None):
+            del self.by_proxy[hello.proxy]
+            self.joined.discard(hello.proxy)
+            self.book.log.event("info", "proxy_left", proxy=hello.proxy, why=why)
+            self.put(notes.ProxyLeft(hello.proxy))
+
+    def look(self) -> None:
+        """Finds the silent ones."""
+        now = time.monotonic()
+        for proxy, peer in self.by_proxy.items():
+            if proxy in self.joined and peer.owes_for(now) > self.silent_s:
+                self.joined.discard(proxy)
+                self.book.count("dropped.silent")
+                self.book.log.event("warning", "stream_silent", proxy=proxy, owes=len(peer.party.marks))
+                self.put(notes.ProxyLeft(proxy))
+
+    def hear(self, peer: Peer) -> None:
+        """A silent stream speaks again: its proxy is joined anew, on what it holds."""
+        hello = self.hellos.get(peer)
+        if hello and hello.proxy not in self.joined:
+            self.joined.add(hello.proxy)
+            self.book.log.event("info", "stream_back", proxy=hello.proxy)
+            self.put(replace(hello, fresh=False))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -15,7 +15,7 @@
 import orjson
 import pytest
 
-from plankroute.net import peers
+from plankroute.net import listener
 from plankroute.net.book import Book, Log
 from plankroute.net.boot import read_boot
 from plankroute.net.peers import Peer
@@ -179,23 +179,43 @@
         assert await old.is_ended()
         await stage.until(lambda: len(stage.service.listener.peers) == 1)
         assert list(stage.service.router.steward.publisher.zone_of) == [3]
-        assert 3 in stage.service.listener.streams
+        assert 3 in stage.service.listener.streams.by_proxy
         new.writer.transport.abort()
         await stage.until(lambda: not stage.service.router.steward.publisher.zone_of)
 
     play(scene)
 
 
+def test_a_silent_stream_counts_as_left_until_it_speaks_again():
+    async def scene(stage: Stage) -> None:
+        proxy = await stage.dial(HELLO)
+        bound = await proxy.hear("replace=1")
+        publisher, streams = stage.service.router.steward.publisher, stage.service.listener.streams
+        stage.service.listener.sweep()
+        assert publisher.zone_of and publisher.channel.waiting
+        streams.silent_s = -1.0
+        stage.service.listener.sweep()
+        await stage.until(lambda: not publisher.zone_of)
+        assert publisher.channel.waiting == 0 and not proxy.writer.transport.is_closing()
+        stage.service.listener.sweep()
+        streams.silent_s = 60.0
+        proxy.say(f"ack node=3 nonce={bound.split('stamp=')[1]} latency=1")
+        assert await proxy.hear("replace=1")
+        assert stage.counts["dropped.silent"] == 1 and list(publisher.zone_of) == [3]
+
+    play(scene)
+
+
 def test_strangers_go_and_collectors_and_proxies_stay(monkeypatch):
-    monkeypatch.setattr(peers, "MOST_STRANGERS", 3)
-    monkeypatch.setattr(peers, "STRANGER_S", 0.0)
+    monkeypatch.setattr(listener, "MOST_STRANGERS", 3)
+    monkeypatch.setattr(listener, "STRANGER_S", 0.0)
 
     async def scene(stage: Stage) -> None:
         collector = await stage.dial("agent locality=a")
         proxy = await stage.dial(HELLO)
         await proxy.hear("replace=1")
         rude = await stage.dial("GET / HTTP/1.1", HELLO.replace("=3", "=4"))  # what follows no longer counts
-        assert await rude.is_ended() and list(stage.service.listener.streams) == [3]
+        assert await rude.is_ended() and list(stage.service.listener.streams.by_proxy) == [3]
         cut = await stage.dial()
         cut.writer.write(HELLO[:20].encode())
         cut.writer.transport.abort()
@@ -219,7 +239,7 @@
         await stage.dial("agent locality=a")
         await stage.until(lambda: stage.counts["taken.collector"] == 3)
         assert stage.counts["dropped.collectors"] == 0  # heard of a moment ago
-        monkeypatch.setattr(peers, "QUIET_COLLECTOR_S", -1.0)
+        monkeypatch.setattr(listener, "QUIET_COLLECTOR_S", -1.0)
         await stage.dial("agent locality=a")
         assert await old.is_ended()
         other.say("probe")
@@ -233,7 +253,7 @@
         still, proxy = await stage.dial(HELLO), await stage.dial(HELLO.replace("=3", "=4"))
         await still.hear("replace=1")
         await proxy.hear("replace=1")
-        peer: Peer = stage.service.listener.streams[3]
+        peer: Peer = stage.service.listener.streams.by_proxy[3]
         still.reader._transport.pause_reading()  # type: ignore[attr-defined]
         while peer.outlet.send(b"x" * 60000 + b"\r\n"):
             await asyncio.sleep(0)
