--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -515,13 +515,13 @@
         return len(users)
 
     def tell_gone(self, host: int, room: float) -> int:
-        """One line where it may be in a table, known or not; their own lines go when there is room."""
-        holders = self.unbound.keys() | {p for t in self.tables if host in t.pushed for p in self.users(t)}
-        if len(holders) > room:
+        """One line a proxy, whatever its tables; their own lines go when there is room."""
+        if len(self.zone_of) > room:
             return 0  # it has to wait for answers
-        self.order(orders.Withdraw(self.fleet.ids[host], True), holders)
-        self.withdrawn, self.due = self.withdrawn | {host}, self.due - {host}
-        return len(holders)
+        self.order(orders.Withdraw(self.fleet.ids[host], True), self.zone_of)
+        self.withdrawn.add(host)
+        self.due.discard(host)
+        return len(self.zone_of)
 
     def lift(self) -> None:
         """Once no table names it; a cold host stays out while proxies on older tables may name it too."""
