--- a/plankroute/net/wire.py
+++ b/plankroute/net/wire.py
@@ -1,8 +1,7 @@
 """The codec of lines at the steward's address, both ways. Only here: wire words."""
 
-import math
 import re
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 
 from plankroute.interface.notes import LoadReport
@@ -102,7 +101,9 @@
         return int(text)
 
     def number(self, name: str, most: float) -> float:
-        return number(self.text(name), name, most)
+        if not NUMBER.fullmatch(text := self.text(name)) or float(text) > most:
+            raise Unreadable(f"{name} is no figure in its range")
+        return float(text)
 
     def time_us(self, name: str) -> int:
         return microseconds(self.number(name, MOST_MS))
@@ -115,16 +116,7 @@
     def report(self, name: str) -> LoadReport | None:
         if name not in self.values:
             return None
-        named = [pair.partition(":") for pair in self.values[name].split(",")]
-        return load_report((REPORT_FIELDS[key], number(value, key, math.inf))
-                           for key, _, value in named if key in REPORT_FIELDS)
-
-
-def number(text: str, name: str, most: float) -> float:
-    value = float(text) if NUMBER.fullmatch(text) else math.nan
-    if not (math.isfinite(value) and 0 <= value <= most):
-        raise Unreadable(f"{name} is no figure in its range")
-    return value
+        return report_from(pair.partition(":") for pair in self.values[name].split(","))
 
 
 READERS: dict[str, Callable[[Words], Said]] = {
@@ -201,8 +193,10 @@
 def read_report(body: bytes) -> LoadReport | None:
     """The load report that a probe's answer carries, if it does."""
     form, _, rest = body.decode("ascii", "replace").strip().partition(" ")
-    if form != "TEXT":
-        return None
-    pairs = [pair.strip().partition("=") for pair in rest.split(",")]
+    return report_from(pair.strip().partition("=") for pair in rest.split(",")) if form == "TEXT" else None
+
+
+def report_from(pairs: Iterable[tuple[str, str, str]]) -> LoadReport:
+    """What is not known by its name, or no figure, is left out: the sums beside it still count."""
     return load_report((REPORT_FIELDS[name], float(value)) for name, _, value in pairs
                        if name in REPORT_FIELDS and NUMBER.fullmatch(value))
