--- a/plankroute/actors.py
+++ b/plankroute/actors.py
@@ -1,9 +1,9 @@
 """Actors with inboxes and the one loop that empties them; machinery only, nothing here decides anything."""
 
-import zlib
 from collections import deque
 from typing import Any
 
+from plankroute.chance import Chance
 from plankroute.interface.orders import Order
 
 
@@ -22,7 +22,7 @@
     """What the actors of one steward share: the clock, the loop, chance, and the orders that go out."""
 
     def __init__(self, seed: int) -> None:
-        self.now, self.seed, self.draws = 0, seed, 0
+        self.now, self.chance = 0, Chance(seed).draw
         self.ready: deque[Actor] = deque()
         self.out: list[Order] = []
 
@@ -34,8 +34,3 @@
         while self.ready:
             actor = self.ready.popleft()
             actor.handle(actor.inbox.popleft())
-
-    def chance(self) -> float:
-        """From 0 to under 1, the same for the same seed and number of draws."""
-        self.draws += 1
-        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -1,11 +1,11 @@
 """Discovery: the list of hosts, by a watch that is renewed whenever it ends or falls silent."""
 
 import asyncio
-import random
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 from typing import Any
 
+from plankroute.chance import Chance
 from plankroute.interface import notes, orders
 from plankroute.interface.notes import ListKind
 from plankroute.net.book import Book
@@ -18,7 +18,7 @@
 
 MOST_LIST = 16 << 20  # bytes: some ten thousand hosts
 LIMITS = Limits(dial_s=1.0, quiet_s=3.0, most_body=MOST_LIST)  # a sign of life comes every 2 s
-AGAIN_S = (0.2, 0.5)  # pause before a new try, drawn anew: a list may count as told 6 s after it was due
+AGAIN_S = 0.3  # pause before a new try, by half either way: a list may count as told 6 s after it was due
 MOST_LOGGED = 30  # entries of a list
 MOST_TEXT = 200  # characters of what came instead
 LIST_FAILED = notes.HostList(ListKind.FAILED, ())
@@ -30,7 +30,7 @@
     def __init__(self, address: str, directory: Directory, book: Book, seed: int,
                  by_order: bool, put: Callable[[notes.Note], None]) -> None:
         self.address, self.directory, self.book, self.put = address, directory, book, put
-        self.by_order, self.chance = by_order, random.Random(seed)
+        self.by_order, self.chance = by_order, Chance(seed)
         self.revision: int | None = None  # None: the next call is to bring the whole list
         self.tasks = set[asyncio.Task[None]]()
         self.watching: asyncio.Task[None] | None = None
@@ -65,7 +65,7 @@
             except Exception as error:  # an error of ours must not leave the steward without a list
                 self.book.count("dropped.watches")
                 self.book.log.event("error", "discovery_failed", why=f"{type(error).__name__}: {error}")
-            await asyncio.sleep(self.chance.uniform(*AGAIN_S))
+            await asyncio.sleep(AGAIN_S * (0.5 + self.chance.draw()))
 
     async def watch_once(self) -> None:
         await self.watch()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -159,12 +159,12 @@
         watch = await stage.agent.watches.get()
         stage.agent.tell(watch, orjson.dumps(listing(45, "s-1", "s-3")) + b"\n")
         assert "drop=s-2" in await proxy.hear("drop")
-        stage.agent.tell(watch, orjson.dumps(listing(9, "s-3", whole=False)) + b"\n")
+        stage.agent.tell(watch, orjson.dumps(listing(9, "s-1", whole=False)) + b"\n")
         assert await stage.agent.asked.get() == "/catalog/members"  # it began anew
         whole = await stage.agent.watches.get()
-        stage.agent.tell(whole, orjson.dumps(listing(9, "s-3")))
+        stage.agent.tell(whole, orjson.dumps(listing(9, "s-1")))
         whole.write(b"0\r\n\r\n")
-        assert "drop=s-1" in await proxy.hear("drop")
+        assert "drop=s-3" in await proxy.hear("drop")
         assert await stage.agent.asked.get() == "/catalog/members?watch=1&after=9"
 
     play(scene)
