--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -18,13 +18,13 @@
 
 
 class Prober:
-    """A connection a probe, closed after it: hosts are probed once a second at most, and few of them."""
+    """A connection a probe, closed after it: kept ones would lie idle, and a new one costs half a millisecond."""
 
     def __init__(self, facts: StartFacts, directory: Directory, clock: Clock, book: Book, dial_us: int,
                  put: Callable[[notes.Note], None]) -> None:
         self.directory, self.clock, self.book, self.put = directory, clock, book, put
         self.target = "/ping" if facts.reports is ReportWay.NONE else "/_load"
-        # Hosts serve probes like txns: an answer may take as long again as a connection may.
+        # Hosts serve probes like txns: an answer may take twice as long as a connection.
         self.limits = Limits(dial_us / 1e6, 2 * dial_us / 1e6, MOST_BODY)
         self.busy: dict[int, asyncio.Task[None]] = {}
         self.may_probe = facts.may_probe
