--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -18,7 +18,7 @@
 
 
 class Prober:
-    """A connection a probe, closed after it: kept ones would lie idle, and a new one costs half a millisecond."""
+    """A connection a probe, closed after it: kept ones would lie idle, new ones cost half a millisecond."""
 
     def __init__(self, facts: StartFacts, directory: Directory, clock: Clock, book: Book, dial_us: int,
                  put: Callable[[notes.Note], None]) -> None:
