Clean-up: addresses are split in one place, levels for all looked up only where they are set

boot.py, listener.py and http.py each took addresses apart; net/address.py now does, with boot's check. Nothing else behaves otherwise.

--- a/plankroute/messages.py
+++ b/plankroute/messages.py
@@ -135,10 +135,10 @@
         return [self.message(proxy, draft, mark) for proxy, draft in self.drafts.items()]
 
     def message(self, proxy: int, draft: Draft, mark: orders.Mark | None) -> Message:
-        for table, product in self.levels:
-            level = self.level(self.streams[proxy].tables.get(product), product)
-            if table is ALL_TABLES and level:  # these go with every message
-                draft.levels[product] = level
+        for product in self.products:
+            table = self.streams[proxy].tables.get(product)
+            if (ALL_TABLES, product) in self.levels and (level := self.level(table, product)):
+                draft.levels[product] = level  # these go with every message
         return Message(proxy, draft.parts(), draft.held, mark.serial if mark else None)
 
     def draft(self, proxy: int) -> Draft:
--- a/plankroute/net/boot.py
+++ b/plankroute/net/boot.py
@@ -6,6 +6,7 @@
 import orjson
 
 from plankroute.interface.facts import StartFacts
+from plankroute.net.address import host_and_port
 from plankroute.start import StartError, microseconds, start_from
 
 USUAL_GATHER_MS = 5.0  # where the settings name no shortest time between batches
@@ -29,9 +30,7 @@
 
 
 def address(text: str) -> str:
-    host, _, port = text.rpartition(":")
-    if not host or not 0 <= int(port) < 65536:
-        raise ValueError(f"{text!r} is no address")
+    host_and_port(text)
     return text
 
 
--- a/plankroute/net/http.py
+++ b/plankroute/net/http.py
@@ -7,6 +7,7 @@
 
 import h11
 
+from plankroute.net.address import host_and_port
 from plankroute.net.errors import CallFailed, Reached
 
 READ_AT_ONCE = 65536  # bytes
@@ -42,9 +43,9 @@
 
     async def pieces(self) -> AsyncGenerator[bytes, None]:
         """The body as it comes; raises OSError, TimeoutError or h11.ProtocolError."""
-        host, _, port = self.address.rpartition(":")
+        host, port = host_and_port(self.address)
         async with asyncio.timeout(self.limits.dial_s):
-            reader, self.writer = await asyncio.open_connection(host, int(port), limit=READ_AT_ONCE)
+            reader, self.writer = await asyncio.open_connection(host, port, limit=READ_AT_ONCE)
         self.reached = Reached.CONNECTED
         head = h11.Request(method="GET", target=self.target,
                            headers=[("Host", self.address), ("Connection", "close")])
--- a/plankroute/net/listener.py
+++ b/plankroute/net/listener.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 from plankroute.interface import notes
+from plankroute.net.address import host_and_port
 from plankroute.net.admit import Admission, Role
 from plankroute.net.book import Book
 from plankroute.net.errors import Refused
@@ -32,8 +33,7 @@
         self.server: asyncio.Server | None = None
 
     async def open(self, address: str) -> None:
-        host, _, port = address.rpartition(":")
-        self.server = await asyncio.start_server(self.serve, host, int(port), backlog=BACKLOG,
+        self.server = await asyncio.start_server(self.serve, *host_and_port(address), backlog=BACKLOG,
                                                  limit=READ_AT_ONCE, reuse_address=True)
 
     def close(self) -> None:
