SIGHUP reads the configuration again: the watch moves, a bad file changes nothing

Now discovery's calls end and begin anew at the new address with the revision they had, limits follow, and what holds for the life of the process is named in the log line. A file that is missing, cut or wrong costs one line and a counter.

--- a/plankroute/net/boot.py
+++ b/plankroute/net/boot.py
@@ -48,7 +48,7 @@
             products=names([item["name"] for item in settings["classes"]]),
             gather_us=microseconds(float(settings.get("quantumMs", USUAL_GATHER_MS))),
             dial_us=microseconds(float((settings.get("caps") or {}).get("dialTimeoutMs", USUAL_DIAL_MS))))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, OverflowError) as error:
         raise StartError(f"{type(error).__name__}: {error}") from error
 
 
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -32,7 +32,7 @@
         self.address, self.directory, self.book, self.put = address, directory, book, put
         self.by_order, self.chance = by_order, Chance(seed)
         self.revision: int | None = None  # None: the next call is to bring the whole list
-        self.tasks = set[asyncio.Task[None]]()
+        self.asking = set[asyncio.Task[None]]()
         self.watching: asyncio.Task[None] | None = None
 
     def start(self, known: Any) -> None:
@@ -45,18 +45,38 @@
             self.revision = said.revision
             self.note(said, ListKind.CACHED)
         if not self.by_order:
-            self.watching = asyncio.create_task(self.watch_always())
+            self.watch_anew()
+
+    def move(self, address: str) -> None:
+        """Calls under way end here and begin anew there; what the list was is kept, and its revision."""
+        self.address = address
+        asking, self.asking = self.asking, set()
+        for task in asking:
+            task.cancel()
+            self.ask_anew()
+        if self.watching and not self.watching.done():
+            self.watch_anew()
+
+    def watch_anew(self) -> None:
+        if self.watching:
+            self.watching.cancel()
+        watch = self.watch_once if self.by_order else self.watch_always
+        self.watching = asyncio.create_task(watch())
+
+    def ask_anew(self) -> None:
+        task = asyncio.create_task(self.ask_once())
+        self.asking.add(task)
+        task.add_done_callback(self.asking.discard)
 
     def obey(self, order: orders.AskList | orders.Subscribe) -> None:
         match order:
             case orders.AskList():
-                task = asyncio.create_task(self.ask_once())
-                self.tasks.add(task)
-                task.add_done_callback(self.tasks.discard)
+                self.ask_anew()
             case orders.Subscribe(on) if self.by_order:
-                if self.watching:
+                if on:
+                    self.watch_anew()
+                elif self.watching:
                     self.watching.cancel()
-                self.watching = asyncio.create_task(self.watch_once()) if on else None
 
     async def watch_always(self) -> None:
         while True:
--- a/plankroute/net/listener.py
+++ b/plankroute/net/listener.py
@@ -27,11 +27,14 @@
     def __init__(self, admission: Admission, streams: Streams, book: Book, descriptors: int,
                  put: Callable[[notes.Note], None]) -> None:
         self.admission, self.streams, self.book, self.put = admission, streams, book, put
-        self.most = max(MOST_STRANGERS, descriptors - SPARE_DESCRIPTORS)
+        self.allow(descriptors)
         self.pool = Pool(ALL_RINGS)
         self.peers = dict[Peer, None]()  # the oldest first
         self.server: asyncio.Server | None = None
 
+    def allow(self, descriptors: int) -> None:
+        self.most = max(MOST_STRANGERS, descriptors - SPARE_DESCRIPTORS)
+
     async def open(self, address: str) -> None:
         self.server = await asyncio.start_server(self.serve, *host_and_port(address), backlog=BACKLOG,
                                                  limit=READ_AT_ONCE, reuse_address=True)
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 from typing import Any
 
 from plankroute.messages import Player
@@ -27,6 +28,8 @@
 
 OPEN_AGAIN_S, OPEN_EVERY_S = 5.0, 0.1  # how long, and how often, a held address is tried
 SWEEP_S = 1.0  # between looks at strangers
+UNUSABLE = (KeyError, OSError, StartError)  # what a configuration that can't be used ends in
+KEPT = ("name", "listen", "facts", "zones", "kinds", "products")  # for the life of the process
 FINISH_S = 0.2  # for the last log lines: well within what operators leave after SIGTERM
 
 
@@ -53,6 +56,7 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self.stop.set)
         loop.add_signal_handler(signal.SIGUSR1, self.book.print)
+        loop.add_signal_handler(signal.SIGHUP, self.reload)
         loop.set_exception_handler(self.on_loop_error)
         if self.boot.facts.slices:
             self.book.say_once("unsupported_slices")
@@ -66,6 +70,23 @@
         sweeping.cancel()
         self.listener.close()
 
+    def reload(self) -> None:
+        """A new configuration under load: what can change does; one that can't be used changes nothing."""
+        try:
+            new = read_configuration()
+        except UNUSABLE as error:
+            self.book.count("dropped.configurations")
+            self.book.log.event("error", "reload_failed", why=f"{type(error).__name__}: {error}")
+            return
+        kept = [name for name in KEPT if getattr(new, name) != getattr(self.boot, name)]
+        moved = new.discovery != self.boot.discovery
+        self.boot = replace(self.boot, discovery=new.discovery, descriptors=new.descriptors)
+        self.listener.allow(self.boot.descriptors)
+        if moved:
+            self.discovery.move(self.boot.discovery)
+        self.book.count("taken.configurations")
+        self.book.log.event("warning" if kept else "info", "reloaded", discovery=self.boot.discovery, kept=kept)
+
     async def open(self) -> None:
         """Guards against a start that fails because the process before has not quite gone."""
         end = time.monotonic() + OPEN_AGAIN_S
@@ -90,11 +111,16 @@
             self.listener.sweep()
 
 
+def read_configuration() -> Boot:
+    with open(os.environ["GW_CONFIG"], "rb") as file:
+        return read_boot(file.read())
+
+
 def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop runs: what is being read is the newest
     try:
-        with open(os.environ["GW_CONFIG"], "rb") as file:
-            boot = read_boot(file.read())
-    except (KeyError, OSError, StartError) as error:
+        boot = read_configuration()
+    except UNUSABLE as error:
         print(f"plankroute: GW_CONFIG can't be used: {type(error).__name__}: {error}", file=sys.stderr)
         return 2
     log = Log(boot.name, to_stderr)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -170,6 +170,46 @@
     play(scene)
 
 
+def test_a_new_configuration_moves_the_watch_and_a_bad_one_changes_nothing(tmp_path, monkeypatch):
+    path, log = tmp_path / "config.json", list[bytes]()
+    monkeypatch.setenv("GW_CONFIG", str(path))
+
+    async def reload(stage: Stage, text: bytes, counter: str) -> None:
+        before = stage.counts[counter]
+        path.write_bytes(text)
+        os.kill(os.getpid(), signal.SIGHUP)
+        await stage.until(lambda: stage.counts[counter] > before)
+
+    async def scene(stage: Stage) -> None:
+        proxy = await stage.dial(HELLO)
+        await proxy.hear("replace=1")
+        old, elsewhere = await stage.agent.watches.get(), Agent()
+        async with await asyncio.start_server(elsewhere.serve, "127.0.0.1", 0) as server:
+            moved = orjson.loads(config(server.sockets[0].getsockname()[1]))
+            moved["limits"]["sockets"], moved["name"] = 600, "n2"
+            for text in (b"", orjson.dumps(moved)[:-9], orjson.dumps({**moved, "settings": 3}),
+                         orjson.dumps({**moved, "discovery": "nowhere"})):
+                await reload(stage, text, "dropped.configurations")
+            path.unlink()
+            os.kill(os.getpid(), signal.SIGHUP)
+            await stage.until(lambda: stage.counts["dropped.configurations"] == 5)
+            assert elsewhere.asked.empty() and not old.transport.is_closing()
+            await reload(stage, orjson.dumps(moved), "taken.configurations")
+            assert await elsewhere.asked.get() == "/catalog/members?watch=1&after=41"
+            watch = await elsewhere.watches.get()
+            elsewhere.tell(watch, orjson.dumps(listing(42, "s-1", whole=False, state="DRAINING")) + b"\n")
+            assert "drop=s-1" in await proxy.hear("drop")  # on the same stream
+            await stage.until(lambda: old.write(b"1\r\n\n\r\n") or old.transport.is_closing())
+            assert stage.service.listener.most == 600 - listener.SPARE_DESCRIPTORS
+            await reload(stage, orjson.dumps(moved), "taken.configurations")  # the same again: nothing moves
+            assert elsewhere.asked.empty() and stage.agent.asked.qsize() == 1
+
+    play(scene, log)
+    said = [line for line in map(orjson.loads, log) if line["event"] in ("reloaded", "reload_failed")]
+    assert [line["level"] for line in said] == ["error"] * 5 + ["warning"] * 2
+    assert said[-1]["kept"] == ["name"]
+
+
 def test_a_new_stream_before_the_old_ones_end_is_no_leaving():
     async def scene(stage: Stage) -> None:
         old = await stage.dial(HELLO)
