Lines of gone hosts leave the table at once; joiners are bound, hosts long gone forgotten

Ruled out: lost messages, broken books, proxies that do not answer (marks owed stayed at 3, at 6 while the channel was slow). Now: a host that goes loses its line in its table at once (a line a proxy, as a withdrawal, and no clean-up later); withdrawals are for proxies on tables not known and for hosts that several tables name. Who joins is bound, which settles it; only where binds of all that wait would take over 0.75 of the grace, they are told who is gone. Binds go at the channel's regular pace (queued), no longer by round trips; what waits for certain still keeps room for a drain. Hosts gone for a minute are forgotten in core, names and messages; ids are not used again, places are. Also against: memory that grows with hosts, withdrawals told twice to a stream.

--- a/plankroute/actors.py
+++ b/plankroute/actors.py
@@ -1,12 +1,19 @@
 """Actors with inboxes and the one loop that empties them; machinery only, nothing here decides anything."""
 
 from collections import deque
+from enum import Enum
 from typing import Any
 
 from plankroute.chance import Chance
 from plankroute.interface.orders import Order
 
 
+class Beat(Enum):
+    """Notes between parts: another turn is due; hosts came, went or moved, so tables follow."""
+
+    TURN, CHANGED = 1, 2
+
+
 class Actor:
     """A part with an inbox; the desk's loop hands it one note at a time."""
 
--- a/plankroute/channel.py
+++ b/plankroute/channel.py
@@ -1,18 +1,28 @@
 """Lines that wait in a steward's channel, as far as answers tell; bookkeeping only, no decision."""
 
+from collections.abc import Iterable
+
 
 class Channel:
     """Messages leave one behind another, so an answer to a mark tells of all written before it."""
 
-    def __init__(self, head_lines: int) -> None:
+    def __init__(self, head_lines: int, lines_a_us: float) -> None:
         self.head, self.serial, self.waiting = head_lines + 1, 0, 0  # each message has a mark's line too
+        self.lines_a_us, self.queued, self.at = lines_a_us, 0.0, 0
         self.sent: dict[int, dict[int, int]] = {}  # by mark, the oldest first: lines to each proxy
         self.batch: dict[int, int] = {}  # lines of this batch's message to each proxy
 
-    def charge(self, proxy: int, lines: int) -> None:
-        before = self.batch.get(proxy, 0)
-        self.batch[proxy] = before + lines
-        self.waiting += lines if before else lines + self.head
+    def charge(self, proxies: Iterable[int], lines: int) -> None:
+        for proxy in proxies:
+            before = self.batch.get(proxy, 0)
+            self.batch[proxy] = before + lines
+            self.waiting += lines if before else lines + self.head
+            self.queued += lines if before else lines + self.head
+
+    def pass_time(self, now: int) -> None:
+        """`queued` has not left at the regular pace; `waiting`, which is certain, holds what travels too."""
+        self.queued = max(0.0, self.queued - (now - self.at) * self.lines_a_us)
+        self.at = now
 
     def close(self) -> int | None:
         """The mark that this batch is to carry, if it writes to any proxy."""
@@ -33,5 +43,7 @@
     def left(self, proxy: int) -> None:
         for lines in self.sent.values():
             self.waiting -= lines.pop(proxy, 0)
+        while self.sent and not next(iter(self.sent.values())):
+            del self.sent[next(iter(self.sent))]  # nobody is left to answer
         if proxy in self.batch:
             self.waiting -= self.batch.pop(proxy) + self.head
--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -13,16 +13,15 @@
 
 from collections import deque
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass, field
-from enum import Enum
-from typing import Any, ClassVar, NamedTuple
+from typing import Any
 
-from plankroute.actors import Actor, Desk
+from plankroute.actors import Actor, Beat, Desk
 from plankroute.channel import Channel
 from plankroute.figures import NO_CAP, Figures, grouped
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import LevelUnit, ReportWay, StartFacts
 from plankroute.interface.notes import HostState, Outcome
+from plankroute.tables import Change, Pushed, even_cap
 
 SECOND_US = 1_000_000
 ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
@@ -30,12 +29,6 @@
 LN_2 = 0.693  # such a sum holds what comes in MEMORY_US / LN_2
 
 
-class Beat(Enum):
-    """Notes between parts: another turn is due; hosts came, went or moved, so tables follow."""
-
-    TURN, CHANGED = 1, 2
-
-
 class Fleet(Figures):
     """The host figures, and what is judged from them for all hosts at once: looked at once a turn or list."""
 
@@ -49,16 +42,6 @@
         self.able = self.entering = self.last_us = 0
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
-    def ready(self) -> list[int]:
-        return [i for i, state in enumerate(self.state) if state is HostState.READY]
-
-    def playing(self) -> list[int]:
-        """Hosts that may be sent txns."""
-        return [i for i in self.ready() if not self.shut[i] and self.cap[i] > 0]
-
-    def counted(self, place: int) -> float:
-        return min(self.weight[place], self.cap[place])
-
     def look(self) -> None:
         ready, heard = self.ready(), [i for i in self.playing() if self.tries[i] > 0]
         tries = sum(self.tries[i] for i in ready) or 1.0
@@ -106,6 +89,8 @@
 
     def on_entry(self, entry: notes.HostEntry) -> None:
         fleet, i = self.fleet, self.place
+        if entry.state is not fleet.state[i]:
+            fleet.heard_us[i] = self.desk.now
         fleet.zone[i], fleet.kind[i], fleet.state[i] = entry.zone, entry.kind, entry.state
         if entry.state is HostState.READY:
             restarted, self.started_us = entry.started_us > self.started_us, entry.started_us
@@ -170,7 +155,8 @@
         enough = self.bad_probes >= (1 if self.silent() else self.BAD_PROBES)
         fleet, i = self.fleet, self.place
         sendable = fleet.state[i] is HostState.READY and not fleet.shut[i] and fleet.cap[i] > 0
-        if enough and sendable and self.suspect() and self.spared():
+        spared = sum(fleet.shut[i] for i in fleet.ready()) + 1 <= self.MOST_SHUT * len(fleet.ready())
+        if enough and sendable and spared and self.suspect():
             fleet.shut[i], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Beat) -> None:
@@ -201,11 +187,6 @@
         per_us = fleet.tries_a_weight * fleet.counted(i) * LN_2 / MEMORY_US
         return (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
-    def spared(self) -> bool:
-        """The rest can do without it."""
-        ready = self.fleet.ready()
-        return sum(self.fleet.shut[i] for i in ready) + 1 <= self.MOST_SHUT * len(ready)
-
     def consider_return(self) -> None:
         """After good probes in a row; where none may be sent, after as many turns."""
         fleet, i = self.fleet, self.place
@@ -304,24 +285,10 @@
         return times
 
 
-@dataclass(eq=False, slots=True)
-class Table:
-    """Slots of the hosts that some products may use, as last pushed; None: no limit, or for every proxy."""
-
-    SLOTS_A_HOST: ClassVar[int] = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
-    number: int
-    zones: tuple[int, ...] | None
-    kinds: tuple[int, ...] | None
-    proxy_zone: int | None
-    products: list[int] = field(default_factory=list)
-    pushed: dict[int, int] = field(default_factory=dict)
-
-    def admits(self, fleet: Fleet, place: int) -> bool:
-        return ((self.zones is None or fleet.zone[place] in self.zones)
-                and (self.kinds is None or fleet.kind[place] in self.kinds))
+class Table(Pushed):
+    """Its slots as they should be."""
 
-    def held_in(self, proxy_zone: int) -> bool:
-        return self.proxy_zone in (None, proxy_zone)
+    SLOTS_A_HOST = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
 
     def slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one.
@@ -360,16 +327,6 @@
     return list(tables.values())
 
 
-class Change(NamedTuple):
-    """A slot that differs from the one pushed."""
-
-    worth: float  # the part of a proxy's txns that it moves
-    urgent: bool
-    table: Table
-    host: int
-    count: int
-
-
 class Publisher(Actor):
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take.
 
@@ -379,21 +336,24 @@
 
     PULSE_US = SECOND_US // 10  # well within any grace, and shorter than a message's way
     ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
-    LOST = 0.1  # of a zone's hosts: the few drawn from it may all be among them
     BIND_PART = 0.45  # binds leave room for slots: those who come later find the table right
     WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a tenth or so, for the time that a slot stands
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
+    IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
+    KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
         super().__init__(desk)
-        self.fleet, self.channel, self.limit = fleet, Channel(facts.head_lines), facts.queue_cap
-        in_time = self.GRACE_PART * max(0, facts.grace_us - facts.way_most_us) / SECOND_US * facts.lines_per_s
+        self.fleet, self.limit, self.lines_a_us = fleet, facts.queue_cap, facts.lines_per_s / SECOND_US
+        self.channel = Channel(facts.head_lines, self.lines_a_us)
+        self.spare_us = max(0, facts.grace_us - facts.way_most_us)
+        in_time = self.GRACE_PART * self.spare_us * self.lines_a_us
         self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
-        self.round = (2 * self.PULSE_US + 2 * facts.way_us) * facts.lines_per_s / SECOND_US  # lines
+        self.round = (2 * self.PULSE_US + 2 * facts.way_us) * self.lines_a_us  # lines
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
@@ -403,7 +363,8 @@
         self.tables = [] if facts.slices else tables_for(facts)  # the store keeps the tables of slices
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
-        self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to withdraw yet
+        self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
+        self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
             desk.out.append(orders.SetLevel(table.number, None, self.OPEN[facts.level_unit], self.RETRY))
@@ -414,13 +375,13 @@
                 i = self.fleet.index[note.host]
                 if self.fleet.state[i] is HostState.READY:
                     self.due.discard(i)
-                elif i not in self.withdrawn:
+                elif i not in self.withdrawn and self.gone_lines(i):
                     self.due.add(i)
             case notes.ProxyJoined():
                 self.on_left(note.proxy)
                 self.zone_of[note.proxy] = note.zone
                 self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
-                self.due |= self.withdrawn  # what was ordered before did not reach it
+                self.untold_us = self.untold_us or self.desk.now
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
             case notes.Applied():
@@ -428,7 +389,9 @@
             case orders.SetLevel():
                 self.levels[note.table, note.products] = note
             case Beat():
+                self.channel.pass_time(self.desk.now)
                 self.lift()
+                self.owe()
                 self.write(note is Beat.TURN)
                 self.bind_waiting()
 
@@ -440,8 +403,7 @@
 
     def order(self, order: orders.Order, proxies: Iterable[int], lines: int = 1) -> None:
         self.desk.out.append(order)
-        for proxy in proxies:
-            self.channel.charge(proxy, lines)
+        self.channel.charge(proxies, lines)
 
     def write(self, turn: bool) -> None:
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
@@ -450,20 +412,21 @@
         fleet.proxies, fleet.dear, fleet.least_move = joined, whole > self.allowance, 0.0
         since, room = self.desk.now - self.written_us, self.limit - self.channel.waiting - heads
         # A busy channel gathers orders under fewer heads; first drains go at once, refused ones when all fit.
-        fits = self.refused and len(self.due) * joined <= room
+        fits = self.refused and sum(map(self.gone_lines, self.due)) <= room
         at_once = fits or (self.due and self.desk.now - self.told_us >= self.most_gap_us)
         busy = self.channel.waiting > self.round and since < self.most_gap_us
         if since < self.least_gap_us or (busy and not at_once):
             return
-        changes = sorted(self.changes(), key=lambda change: (-change.worth, change.host))
-        for host in sorted(self.due):
+        changes = sorted(self.changes(), key=lambda change: (-change.worth, change.place))
+        for host in sorted(self.due, key=lambda i: (not self.naming(i), i)):
             self.told_us = self.desk.now
             room -= self.tell_gone(host, room)
         self.refused = bool(self.due)
         for change in (c for c in changes if c.urgent):
             room -= self.set_line(change, room)
-        if self.channel.batch or (turn and since >= 2 * self.least_gap_us and not self.lost_zones()):
-            self.write_ordinary([c for c in changes if not c.urgent], room - self.limit + self.allowance)
+        if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
+            room = min(room, self.room(self.allowance) - heads)
+            self.write_ordinary([c for c in changes if not c.urgent], room)
         if self.channel.batch:
             self.written_us = self.desk.now
 
@@ -483,15 +446,15 @@
                     strain = max(1.0, before / max(1, count)) if before else self.NEW
                     worth = abs(count - before) * part * strain
                     urgent = bare or fallen or not count
-                    if i in self.withdrawn:  # nobody sends there: it goes last of all, sooner if it is back
-                        back = fleet.state[i] is HostState.READY
-                        worth, urgent = worth * back, bare and back
+                    if i in self.withdrawn:  # nobody sends there: last, sooner if it is back or long gone
+                        back, late = fleet.state[i] is HostState.READY, self.desk.now - fleet.heard_us[i]
+                        worth, urgent = worth * back or float(2 * late > self.KEEP_US), bare and back
                     yield Change(worth, urgent, table, i, count)
 
     def write_ordinary(self, changes: list[Change], room: float) -> None:
         """Levels, then the slots that move most, as there is room, if together they are worth their heads."""
         head = 0 if self.channel.batch else self.channel.head
-        worth = [c for c in changes if c.worth > self.line_price or c.host in self.withdrawn]
+        worth = [c for c in changes if c.worth > self.line_price or c.place in self.withdrawn]
         if room < len(self.bound) * min(head, len(worth) + len(self.levels)):
             return  # a later message holds more lines a head
         for key, level in list(self.levels.items()):
@@ -507,47 +470,80 @@
         users = self.users(change.table)
         if len(users) > room:
             return 0
-        table, host = change.table, change.host
-        table.pushed[host] = change.count
-        if not change.count:
-            del table.pushed[host]
-        self.order(orders.SetLine(table.number, self.fleet.ids[host], float(change.count)), users)
+        table, host = change.table, self.fleet.ids[change.place]
+        table.set(change.place, change.count)
+        self.order(orders.SetLine(table.number, host, float(change.count)), users)
         return len(users)
 
+    def naming(self, host: int) -> list[Table]:
+        return [table for table in self.tables if host in table.pushed]
+
+    def gone_lines(self, host: int) -> int:
+        if len(tables := self.naming(host)) > 1:
+            return len(self.zone_of)
+        return len(self.unbound) + sum(len(self.users(table)) for table in tables)
+
     def tell_gone(self, host: int, room: float) -> int:
-        """One line a proxy, whatever its tables; their own lines go when there is room."""
-        if len(self.zone_of) > room:
+        """Its line goes; proxies on other tables, and all where several name it, are told: a line a proxy."""
+        tables, lines = self.naming(host), self.gone_lines(host)
+        if lines > room:
             return 0  # it has to wait for answers
-        self.order(orders.Withdraw(self.fleet.ids[host], True), self.zone_of)
-        self.withdrawn.add(host)
         self.due.discard(host)
-        return len(self.zone_of)
+        if len(tables) == 1:
+            self.set_line(Change(0.0, True, tables[0], host, 0), room)
+        if told := self.zone_of.keys() if len(tables) > 1 else self.unbound.keys():
+            self.order(orders.Withdraw(self.fleet.ids[host], True), told)
+            self.withdrawn.add(host)
+        return lines
+
+    def owe(self) -> None:
+        """Who joins may name hosts that are gone: binds settle it, withdrawals where these take too long.
+
+        Guards against drains that wait behind what was told before, each time that a proxy joins.
+        """
+        fleet, now = self.fleet, self.desk.now
+        if not self.unbound:
+            self.untold_us = None
+        elif self.untold_us is not None and now - self.told_us >= self.most_gap_us:
+            a_bind = self.channel.head + sum(1 + len(t.pushed) + 2 * len(t.products) for t in self.tables)
+            in_time = (self.IN_TIME * self.spare_us - (now - self.untold_us)) * self.lines_a_us
+            if self.channel.waiting + len(self.unbound) * a_bind > in_time:
+                self.due.update(i for i in fleet.index.values() if fleet.state[i] is not HostState.READY)
+                self.untold_us = None
+
+    def forget(self) -> None:
+        """Nothing is kept of hosts long gone; an id that comes again is a new host."""
+        fleet, late = self.fleet, self.desk.now - self.KEEP_US
+        for host, i in list(fleet.index.items()):
+            if fleet.state[i] is HostState.GONE and fleet.heard_us[i] < late and not self.naming(i):
+                fleet.remove(host)
+                for places in (self.withdrawn, self.due):
+                    places.discard(i)
+                self.desk.out.append(orders.Forget(host))
 
     def lift(self) -> None:
         """Once no table names it; a cold host stays out while proxies on older tables may name it too."""
         for i in sorted(self.withdrawn):
-            back, named = self.fleet.state[i] is HostState.READY, any(i in t.pushed for t in self.tables)
-            if back and not named and (self.fleet.cap[i] == NO_CAP or not self.unbound):
+            back = self.fleet.state[i] is HostState.READY
+            if back and not self.naming(i) and (self.fleet.cap[i] == NO_CAP or not self.unbound):
                 self.withdrawn.discard(i)
                 self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
 
     def users(self, table: Table) -> list[int]:
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
-    def lost_zones(self) -> set[int]:
-        """Much of them is gone: proxies not yet bound have few lines, drawn in a zone, and may be bare."""
-        gone = [self.fleet.zone[i] for i in self.withdrawn] if self.unbound else []
-        return {z for z in set(gone) if gone.count(z) > self.LOST * self.fleet.zone.count(z)}
+    def room(self, most_queued: float) -> float:
+        """For what can wait: no more may be queued, and a message that drains a host must always fit."""
+        most = max(self.bind_allowance, self.limit - len(self.zone_of) * (self.channel.head + 1))
+        return min(most_queued - self.channel.queued, most - self.channel.waiting)
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
-        filled, lost, out = any(t.pushed for t in self.tables), self.lost_zones(), self.withdrawn
-        room = self.allowance if lost else self.bind_allowance
-        waits = sorted(self.unbound, key=lambda p: (self.zone_of[p] not in lost, *self.unbound[p], p))
-        for proxy in waits if filled else ():
+        filled, out = any(t.pushed for t in self.tables), self.withdrawn
+        for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
-            if self.channel.waiting + sum(costs) + self.channel.head > room:
+            if sum(costs) + self.channel.head > self.room(self.bind_allowance):
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
@@ -631,10 +627,6 @@
     def rate_for(self, table: Table, product: int, share: float) -> float:
         """The rate at each proxy by which the share of all comes in: the small ones keep theirs whole."""
         joined = self.publisher.zone_of.items()
-        rates = sorted(self.rates.get((proxy, product), 0.0) for proxy, zone in joined if table.held_in(zone))
-        left = share * sum(rates)
-        for place, rate in enumerate(rates):
-            if (even := left / (len(rates) - place)) <= rate:
-                return max(even, 0.1)
-            left -= rate
-        return Publisher.OPEN[self.unit]
+        rates = [self.rates.get((proxy, product), 0.0) for proxy, zone in joined if table.held_in(zone)]
+        cap = even_cap(rates, share * sum(rates))
+        return Publisher.OPEN[self.unit] if cap is None else max(cap, 0.1)
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -7,13 +7,15 @@
 from plankroute.interface.notes import HostEntry, HostState
 
 NO_CAP = float("inf")
+NO_ZONE = -1
 
 
 class Figures:
-    """One place a host, for good: ids are mapped at the door, and a host that is gone keeps its place."""
+    """One place a host: ids are mapped at the door; the place of one that was removed is another's next."""
 
     def __init__(self) -> None:
         self.index: dict[int, int] = {}
+        self.free: list[int] = []  # places of hosts that were removed: not ready, and in no index
         self.ids: list[int] = []
         # What the list says
         self.state: list[HostState] = []
@@ -43,7 +45,7 @@
 
     def add(self, entry: HostEntry) -> int:
         """The place of a host not seen before; it is not ready until its entry is handled."""
-        place = self.index[entry.host] = len(self.ids)
+        place = self.index[entry.host] = self.free.pop() if self.free else len(self.ids)
         weight = entry.weight or 1.0
         for array, value in (
                 (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
@@ -52,9 +54,23 @@
                 (self.standing, 0.0),
                 (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
                 (self.held, 0.0), (self.heard_us, 0)):
-            array.append(value)
+            array[place:place + 1] = [value]
         return place
 
+    def remove(self, host: int) -> None:
+        self.free.append(place := self.index.pop(host))
+        self.zone[place] = NO_ZONE  # counts nowhere
+
+    def ready(self) -> list[int]:
+        return [i for i, state in enumerate(self.state) if state is HostState.READY]
+
+    def playing(self) -> list[int]:
+        """Hosts that may be sent txns."""
+        return [i for i in self.ready() if not self.shut[i] and self.cap[i] > 0]
+
+    def counted(self, place: int) -> float:
+        return min(self.weight[place], self.cap[place])
+
     def fade(self, place: int, keep: float) -> None:
         for sums in (self.tries, self.voided, self.time_us, self.reports, self.held):
             sums[place] *= keep
--- a/plankroute/interface/orders.py
+++ b/plankroute/interface/orders.py
@@ -94,10 +94,17 @@
     on: bool
 
 
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """The core keeps nothing of this host any more; if it is listed again, it is a new one."""
+
+    host: int
+
+
 @dataclass(frozen=True, slots=True)
 class Log:
     text: str
 
 
 Order = (SetLine | ClearTable | Withdraw | Bind | SetLevel | Mark | Probe | Tell | SetTimer | AskList
-         | Subscribe | Log)
+         | Subscribe | Forget | Log)
--- a/plankroute/messages.py
+++ b/plankroute/messages.py
@@ -113,6 +113,13 @@
                 self.once_held.update(entry.host for entry in note.entries
                                       if entry.state is not HostState.READY or entry.started_us)
 
+    def forget(self, host: int) -> None:
+        """Nobody is told of it any more; who was told to hold it back is no longer certain of anything."""
+        self.held_back.discard(host)
+        self.once_held.discard(host)
+        for stream in self.streams.values():
+            stream.fresh = not stream.told.pop(host, False) and stream.fresh
+
     def play(self, batch: Iterable[orders.Order]) -> list[Message]:
         self.drafts, mark = {}, None
         for order in batch:
@@ -186,7 +193,8 @@
         (self.held_back.add if order.out else self.held_back.discard)(order.host)
         for proxy, stream in self.streams.items():
             unbound = any(product not in stream.tables for product in self.products)  # on tables not known
-            if unbound or any(order.host in self.tables.get(t, {}) for t in stream.tables.values()):
+            may_send = unbound or any(order.host in self.tables.get(t, {}) for t in stream.tables.values())
+            if may_send and stream.told.get(order.host) is not order.out:
                 self.tell(proxy, order.host, order.out)
 
     def set_level(self, order: orders.SetLevel) -> None:
--- a/plankroute/net/directory.py
+++ b/plankroute/net/directory.py
@@ -3,14 +3,14 @@
 from dataclasses import dataclass
 
 from plankroute.interface import notes
-from plankroute.interface.notes import ListKind
+from plankroute.interface.notes import HostState, ListKind
 from plankroute.net.catalogue import EntrySaid, ListSaid
 from plankroute.net.clock import Clock
 
 
 @dataclass(slots=True)
 class Known:
-    """A host that discovery has listed; its id is its place and stays for this life of the steward."""
+    """A host that discovery has listed, until the core has forgotten it; its id is never another's."""
 
     uid: str
     address: str
@@ -28,8 +28,9 @@
                  products: tuple[str, ...]) -> None:
         self.clock = clock
         self.zones, self.kinds, self.products = places(zones), places(kinds), places(products)
-        self.hosts: list[Known] = []
+        self.hosts: dict[int, Known] = {}
         self.ids: dict[str, int] = {}
+        self.next_id = 0
 
     def uid(self, host: int) -> str:
         return self.hosts[host].uid
@@ -37,6 +38,9 @@
     def address(self, host: int) -> str:
         return self.hosts[host].address
 
+    def forget(self, host: int) -> None:
+        del self.ids[self.hosts.pop(host).uid]
+
     def note(self, listed: ListSaid, kind: ListKind | None = None) -> tuple[notes.HostList, int]:
         """The list by ids, and how many entries could not be taken.
 
@@ -45,6 +49,8 @@
         entries: dict[int, notes.HostEntry] = {}
         refused = 0
         for said in listed.entries:
+            if said.uid not in self.ids and isinstance(said, EntrySaid) and said.state is HostState.GONE:
+                continue  # never listed here, or forgotten: nothing to tell
             entry = self.entry(said) if isinstance(said, EntrySaid) else None
             refused += entry is None
             if entry is None and said.uid in self.ids:
@@ -58,8 +64,9 @@
         if said.zone not in self.zones or said.kind not in self.kinds:
             return None
         if said.uid not in self.ids:
-            self.ids[said.uid] = len(self.hosts)
-            self.hosts.append(Known(said.uid, said.address))
+            self.ids[said.uid] = self.next_id
+            self.hosts[self.next_id] = Known(said.uid, said.address)
+            self.next_id += 1
         known = self.hosts[self.ids[said.uid]]
         known.address = said.address
         if known.boot_ms != said.boot_ms:  # worked out once a start: no host may seem to start again
--- a/plankroute/net/route.py
+++ b/plankroute/net/route.py
@@ -22,6 +22,7 @@
         self.handle_us = 0
         self.send: Callable[[Message], None] = lambda message: None
         self.probe: Callable[[int], None] = lambda host: None
+        self.forget: Callable[[int], None] = lambda host: None
         self.ask: Callable[[orders.AskList | orders.Subscribe], None] = lambda order: None
 
     def put(self, note: notes.Note) -> None:
@@ -62,6 +63,10 @@
             self.carry_out(now, decided)
             for message in self.player.play(decided):
                 self.send(message)
+            for order in decided:
+                if isinstance(order, orders.Forget):  # last of all: no message can name the host from here
+                    self.player.forget(order.host)
+                    self.forget(order.host)
         except Exception as error:
             place = traceback.extract_tb(error.__traceback__)[-1]
             self.book.count("core.failed")
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -49,7 +49,7 @@
                                    boot.facts.must_subscribe, put)
         self.router.send = Sender(streams, Writer(boot.products, self.directory.uid), book).send
         self.router.probe = Prober(boot.facts, self.directory, clock, book, boot.dial_us, put).probe
-        self.router.ask = self.discovery.obey
+        self.router.ask, self.router.forget = self.discovery.obey, self.directory.forget
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -85,7 +85,7 @@
         if moved:
             self.discovery.move(self.boot.discovery)
         self.book.count("taken.configurations")
-        self.book.log.event("warning" if kept else "info", "reloaded", discovery=self.boot.discovery, kept=kept)
+        self.book.log.event("warning" if kept else "info", "reloaded", discovery=new.discovery, kept=kept)
 
     async def open(self) -> None:
         """Guards against a start that fails because the process before has not quite gone."""
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -1,7 +1,7 @@
 """The door of a steward: notes in by id, orders out, and the beats that wake its parts; no decision."""
 
-from plankroute.actors import Desk
-from plankroute.decide import ASK_AGAIN_US, Balancer, Beat, Fleet, Host, Levels, Publisher
+from plankroute.actors import Beat, Desk
+from plankroute.decide import ASK_AGAIN_US, Balancer, Fleet, Host, Levels, Publisher
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import StartFacts
 from plankroute.interface.notes import HostState, ListKind
@@ -64,7 +64,8 @@
                 entries.setdefault(host, gone)
         for host, entry in entries.items():
             if host not in fleet.index:
-                self.hosts.append(Host(self.desk, fleet, fleet.add(entry)))
+                place = fleet.add(entry)
+                self.hosts[place:place + 1] = [Host(self.desk, fleet, place)]
             for part in (self.hosts[fleet.index[host]], self.publisher):
                 self.desk.put(part, entry)
         self.desk.run()
@@ -84,5 +85,6 @@
             self.fleet.look()
             for part in (*self.hosts, self.balancer, self.levels):
                 self.desk.put(part, Beat.TURN)
+            self.publisher.forget()
             return Beat.TURN
         return None
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -7,7 +7,7 @@
 import pytest
 
 from model import DRAINING, GONE, READY, SECOND, entry, full, start_facts
-from plankroute.interface import notes
+from plankroute.interface import notes, orders
 from plankroute.interface.notes import ListKind, LoadReport, Outcome
 from plankroute.messages import Player
 from plankroute.net import wire
@@ -317,3 +317,51 @@
     book.print()
     log.finish(30.0)
     assert len(written) == 3001 - log.dropped and b'"counters"' in written[-1]
+
+
+def test_hosts_replaced_all_day_leave_nothing_behind():
+    """Guards against what grows with hosts that are gone: names, places, lines, hosts held back, marks."""
+    known, book, sent = named(*[f"s-{n}" for n in range(12)]), Book(Log("n1", lambda line: None)), []
+    router = Router(Steward(start_facts(cold_us=SECOND), 7), Player(1), Clock(), book, 1000)
+    router.send, router.forget = sent.append, known.forget
+    core, sizes, now = router.steward, [], 10**15
+
+    def work(*batch: notes.Note) -> None:
+        router.work_on(now, [*batch, *map(notes.TimerDue, (Steward.PULSE, Steward.TURN))])
+
+    first = listing(*[member(f"s-{n}") for n in range(12)])
+    work(known.note(list_from(first), ListKind.CACHED)[0], *[notes.ProxyJoined(p, 0, 9.0, True) for p in range(4)])
+    for n in range(400):
+        now += SECOND
+        changed = [member(f"s-{n}", "DRAINING"), member(f"s-{n + 12}", boot_ms=now / 1000)]
+        changed += [member(f"s-{n - 3}", "DELETED")] * (n > 2)
+        gone, last = n % 4, max([message.mark for message in sent], default=0)
+        sent.clear()
+        work(known.note(list_from(listing(*changed, rev=42 + n, whole=False)))[0],
+             *[notes.Applied(p, last, 1) for p in range(4) if last],
+             notes.ProxyLeft(gone), notes.ProxyJoined(gone, 0, 9.0, False),
+             notes.HostSums(known.ids[f"s-{n + 5}"], 0, 9, 0, 2e5, SECOND, None))
+        publisher, player = core.publisher, router.player
+        sizes.append([len(each) for each in (
+            known.hosts, known.ids, core.fleet.ids, core.fleet.index, core.hosts, publisher.withdrawn,
+            publisher.tables[0].pushed, publisher.channel.sent, player.once_held, player.held_back,
+            player.tables[0], *[stream.told for stream in player.streams.values()])])
+    assert book.counts["core.failed"] == 0 and not publisher.unbound
+    assert set(player.tables[0]) == {known.ids[f"s-{n}"] for n in range(400, 412)}
+    assert all(late <= early for early, late in zip(map(max, *sizes[:200]), map(max, *sizes[200:])))
+
+
+def test_a_host_of_an_old_name_is_a_new_one():
+    known, player = named("s-1", "s-2"), Player(1)
+    for proxy in (0, 1):
+        player.hear(notes.ProxyJoined(proxy, 0, 9.0, True))
+    player.play([orders.SetLine(0, 1, 1.0), orders.Bind(0, 0), orders.Withdraw(0, True)])
+    known.forget(0)
+    player.forget(0)
+    listed, refused = known.note(list_from(listing(member("s-1", boot_ms=5), rev=42, whole=False)))
+    player.hear(listed)
+    assert [each.host for each in listed.entries] == [2] and not refused and known.uid(2) == "s-1"
+    told = {m.proxy: m.held for m in player.play([orders.SetLine(0, 2, 1.0), orders.Bind(0, 1)])}
+    assert told == {0: {}, 1: {2: False}}  # proxy 1 may hold it back yet
+    listed, refused = known.note(list_from(listing(member("s-9", "DELETED"), rev=43, whole=False)))
+    assert not listed.entries and not refused and "s-9" not in known.ids
