--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -1,9 +1,8 @@
 """All decisions of a steward. Its door, steward.py: Steward(facts, seed).deliver(clock_us, notes) -> orders.
 
-Facts, notes and orders are the types in plankroute/interface; actors.py holds the loop, figures.py the hosts'
-arrays, channel.py the channel's books. The design (docs/design.md) sets the ordinary tables: a leaky PID on
-fill moves each host's weight every turn; weights become integer slots of one shared table, and only changed
-slots are pushed. Beside it:
+Facts, notes and orders are the types in plankroute/interface. The design (docs/design.md) sets the ordinary
+tables: a leaky PID on fill moves each host's weight every turn; weights become integer slots of one shared
+table, and only changed slots are pushed. Beside it:
 1. Cold hosts: a host just started, or let back in, is capped and rises as it warms.
 2. Health: a host that voids its txns or is silent is probed, shut out, and let back by degrees.
 3. Drains: hosts that drain or are gone are withdrawn before all else.
@@ -39,7 +38,8 @@
         sla_us = [product.sla_us for product in facts.products]
         self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
-        self.able = self.entering = self.last_us = 0
+        self.best_part = 0.0  # voided by the best third
+        self.able = self.entering = self.last_us = self.alarm_us = 0
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
     def look(self) -> None:
@@ -49,7 +49,10 @@
         self.crowding = tries * LN_2 * SECOND_US / MEMORY_US / max(1, self.proxies * len(ready))
         self.time_part = sum(self.time_us[i] for i in ready) / tries
         self.tries_a_weight = sum(self.tries[i] for i in heard) / (sum(self.weight[i] for i in heard) or 1.0)
-        self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) // 2] if heard else 0
+        # By the best third, since two zones of three may be out of reach.
+        best = sorted(heard, key=lambda i: self.voided[i] / self.tries[i])[:max(1, len(heard) // 3)]
+        self.best_part = sum(self.voided[i] for i in best) / (sum(self.tries[i] for i in best) or 1.0)
+        self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) * 2 // 3] if heard else 0
         warm = [i for i in ready if self.cap[i] == NO_CAP]
         self.able, self.entering = len(warm), len(ready) - len(warm)
         self.most = max(self.most, self.able)
@@ -65,11 +68,12 @@
 class Host(Actor):
     """One host: its place in the list, whether it is cold, what is heard of it, and its health."""
 
-    VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the fleet's part, and in txns: together beyond chance
-    STRAINED = 3.0  # times the fleet's voided part: where all void much a host that voids more is but fuller
+    VOIDED_EXCESS, LEAST_VOIDED = 0.25, 3.0  # over the best hosts' part, and in txns: together beyond chance
+    STRAINED = 3.0  # times the best hosts' part: where all void much a host that voids more is but fuller
     SILENT_TRIES = 4.0  # expected without a word: by chance one time in fifty, and it only asks a probe
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32  # in a row, to shut a suspect and to let it back
-    MOST_SHUT = 0.67  # of all hosts: two zones of three may be out of reach; fewer left would only drown
+    MOST_SHUT = 0.75  # of all hosts: two zones of three may be out of reach; fewer left would only drown
+    ALARM_US = 3 * SECOND_US  # after streams broke together: one probe that does not get through is enough
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 4.0  # takes a third off at a half voided, three quarters at nine tenths; with less hosts fell
     # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
@@ -103,11 +107,9 @@
         self.warm()
 
     def warm(self) -> None:
-        """Cold hosts get the part of their kind's weight that they are sure to bear, less what may rush in.
+        """Guards against a host pushed over as it starts, whoever else sends there: it gets what it bears.
 
-        Guards against a host pushed over as it starts, whoever else sends there. Where tries are voided, more
-        come to a weight than hosts can answer, and proxies shun the others and flock to what is left; many
-        can share that rush, few can not. Harm: a fast warmer could take more.
+        Where tries are voided less: proxies shun others and flock to it. Harm: a fast warmer could take more.
         """
         fleet, i, share = self.fleet, self.place, self.share
         age = max(0, self.desk.now - self.started_us)
@@ -136,27 +138,24 @@
         fleet.tries[i] += good + voided
         fleet.voided[i] += voided
         fleet.time_us[i] += (good * sums.mean_us if good else 0.0) + voided * fleet.sla_us
-        self.on_report(sums.report)
-
-    def on_report(self, report: notes.LoadReport | None) -> None:
-        if report and report.inflight is not None and 0 <= report.inflight < NO_CAP:
-            self.fleet.reports[self.place] += 1
-            self.fleet.held[self.place] += report.inflight
+        fleet.add_report(i, sums.report)
 
     def on_probe(self, probe: notes.ProbeResult) -> None:
         if probe.outcome is Outcome.ANSWERED:
-            self.good_probes, self.bad_probes = self.good_probes + 1, 0
-            self.on_report(probe.report)
+            self.good_probes, self.bad_probes, self.fleet.cut[self.place] = self.good_probes + 1, 0, False
+            self.fleet.add_report(self.place, probe.report)
         elif probe.outcome is not Outcome.TURNED_AWAY:
             self.good_probes, self.bad_probes = 0, self.bad_probes + 1
+            self.fleet.cut[self.place] = probe.outcome is Outcome.UNREACHED
             self.consider_shutting()
 
     def consider_shutting(self) -> None:
-        enough = self.bad_probes >= (1 if self.silent() else self.BAD_PROBES)
         fleet, i = self.fleet, self.place
+        cut = fleet.cut[i] and self.desk.now - fleet.alarm_us < self.ALARM_US
+        enough = self.bad_probes >= (1 if cut or self.silent() else self.BAD_PROBES)
         sendable = fleet.state[i] is HostState.READY and not fleet.shut[i] and fleet.cap[i] > 0
         spared = sum(fleet.shut[i] for i in fleet.ready()) + 1 <= self.MOST_SHUT * len(fleet.ready())
-        if enough and sendable and spared and self.suspect():
+        if enough and sendable and spared and (cut or self.suspect()):
             fleet.shut[i], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Beat) -> None:
@@ -178,7 +177,7 @@
     def suspect(self) -> bool:
         """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
         fleet, i = self.fleet, self.place
-        excess = fleet.voided[i] - (self.STRAINED * fleet.voided_part + self.VOIDED_EXCESS) * fleet.tries[i]
+        excess = fleet.voided[i] - (self.STRAINED * fleet.best_part + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
     def silent(self) -> bool:
@@ -286,21 +285,18 @@
 
 
 class Table(Pushed):
-    """Its slots as they should be."""
-
     SLOTS_A_HOST = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
 
     def slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
-        """Floor of each share, the missing ones to the largest remainders; each open host keeps one.
-
-        The hosts that stay keep their slots together, so that one that comes or goes moves no other's.
-        """
+        """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         able = [i for i in fleet.ready() if fleet.cap[i] and i not in out and self.admits(fleet, i)]
         hosts, suspects = [i for i in able if not fleet.shut[i]], [i for i in able if fleet.shut[i]]
         if 2 * sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
             # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
-            hosts += suspects
+            hosts += [i for i in suspects if not fleet.cut[i]]
+        hosts = hosts or suspects
         weights = {i: fleet.counted(i) for i in hosts}
+        # Those that stay keep their slots together, so that one that comes or goes moves no other's.
         stay = [i for i in hosts if i in self.pushed and fleet.cap[i] == NO_CAP]
         scale = sum(self.pushed[i] for i in stay) / sum(weights[i] for i in stay) if stay else 0.0
         usual = self.SLOTS_A_HOST * len(hosts) / sum(weights.values()) if hosts else 0.0
@@ -330,8 +326,7 @@
 class Publisher(Actor):
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take.
 
-    A line is paid at every proxy, and so is a message's head: where proxies are many, messages are full, hold
-    the slots that move most, and leave out those not worth their price; newer slots replace what was put off.
+    Lines and heads are paid at every proxy: messages are full, of slots that move most and are worth it.
     """
 
     PULSE_US = SECOND_US // 10  # well within any grace, and shorter than a message's way
@@ -342,6 +337,7 @@
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
+    BURST = 0.1  # of the streams, within a second: more than break by themselves
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
@@ -364,6 +360,7 @@
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
+        self.broken: list[int] = []  # when streams ended, in the last second
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
@@ -384,6 +381,7 @@
                 self.untold_us = self.untold_us or self.desk.now
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
+                self.count_broken()
             case notes.Applied():
                 self.channel.answered(note.proxy, note.serial)
             case orders.SetLevel():
@@ -401,6 +399,14 @@
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
+    def count_broken(self) -> None:
+        """Streams that break together may tell of a cut, seconds before sums do: all hosts are asked."""
+        fleet, now = self.fleet, self.desk.now
+        self.broken = [at for at in self.broken if at > now - SECOND_US] + [now]
+        if len(self.broken) > max(2, self.BURST * len(self.zone_of)) and now - fleet.alarm_us > SECOND_US:
+            fleet.alarm_us = now
+            self.desk.out += [orders.Probe(fleet.ids[i]) for i in fleet.playing() if fleet.may_probe]
+
     def order(self, order: orders.Order, proxies: Iterable[int], lines: int = 1) -> None:
         self.desk.out.append(order)
         self.channel.charge(proxies, lines)
@@ -497,10 +503,7 @@
         return lines
 
     def owe(self) -> None:
-        """Who joins may name hosts that are gone: binds settle it, withdrawals where these take too long.
-
-        Guards against drains that wait behind what was told before, each time that a proxy joins.
-        """
+        """Who joins may name hosts that are gone: binds settle it, withdrawals where these take too long."""
         fleet, now = self.fleet, self.desk.now
         if not self.unbound:
             self.untold_us = None
@@ -511,15 +514,11 @@
                 self.due.update(i for i in fleet.index.values() if fleet.state[i] is not HostState.READY)
                 self.untold_us = None
 
-    def forget(self) -> None:
-        """Nothing is kept of hosts long gone; an id that comes again is a new host."""
+    def long_gone(self) -> list[int]:
+        """Hosts of which nothing is kept from here."""
         fleet, late = self.fleet, self.desk.now - self.KEEP_US
-        for host, i in list(fleet.index.items()):
-            if fleet.state[i] is HostState.GONE and fleet.heard_us[i] < late and not self.naming(i):
-                fleet.remove(host)
-                for places in (self.withdrawn, self.due):
-                    places.discard(i)
-                self.desk.out.append(orders.Forget(host))
+        return [host for host, i in fleet.index.items() if fleet.state[i] is HostState.GONE
+                and fleet.heard_us[i] < late and not self.naming(i)]
 
     def lift(self) -> None:
         """Once no table names it; a cold host stays out while proxies on older tables may name it too."""
@@ -560,9 +559,8 @@
 class Levels(Actor):
     """Declines early while answers are late: table by table, so zone by zone where products stay in one.
 
-    Guards against overload of any cause. Only answers that come count: behind a cut, or where connections
-    fail, txns are lost however few come in. Never less is let in than is settled just now: what is known is
-    seconds old, and levels that fell on declined an idle fleet. Harm: late answers of hosts not full.
+    Guards against overload, by answers that come: behind a cut txns are lost however few come in. Never
+    less is let in than is settled just now: what is known is old. Harm: late answers of hosts not full.
     """
 
     HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -4,7 +4,7 @@
 from itertools import groupby
 from typing import Any
 
-from plankroute.interface.notes import HostEntry, HostState
+from plankroute.interface.notes import HostEntry, HostState, LoadReport
 
 NO_CAP = float("inf")
 NO_ZONE = -1
@@ -31,6 +31,7 @@
         # Beside the controller
         self.cap: list[float] = []  # the most that an entering host's weight counts for
         self.shut: list[bool] = []
+        self.cut: list[bool] = []  # the last probe did not get through
         self.proxies = 0  # joined
         self.least_move = 0.0  # the smallest move of a usual slot, as a part of it, that is worth its line
         self.dear = False  # writing all slots takes more than a turn's room in the channel
@@ -50,16 +51,18 @@
         for array, value in (
                 (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
                 (self.kind, entry.kind), (self.listed, weight), (self.weight, weight), (self.cap, NO_CAP),
-                (self.shut, False), (self.error, None), (self.integral, 0.0), (self.news, False),
-                (self.standing, 0.0),
+                (self.shut, False), (self.cut, False), (self.error, None), (self.integral, 0.0),
+                (self.news, False), (self.standing, 0.0),
                 (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
                 (self.held, 0.0), (self.heard_us, 0)):
             array[place:place + 1] = [value]
         return place
 
-    def remove(self, host: int) -> None:
+    def remove(self, host: int) -> int:
+        """Its place, which counts nowhere from here."""
         self.free.append(place := self.index.pop(host))
-        self.zone[place] = NO_ZONE  # counts nowhere
+        self.zone[place] = NO_ZONE
+        return place
 
     def ready(self) -> list[int]:
         return [i for i, state in enumerate(self.state) if state is HostState.READY]
@@ -71,6 +74,11 @@
     def counted(self, place: int) -> float:
         return min(self.weight[place], self.cap[place])
 
+    def add_report(self, place: int, report: LoadReport | None) -> None:
+        if report and report.inflight is not None and 0 <= report.inflight < NO_CAP:
+            self.reports[place] += 1
+            self.held[place] += report.inflight
+
     def fade(self, place: int, keep: float) -> None:
         for sums in (self.tries, self.voided, self.time_us, self.reports, self.held):
             sums[place] *= keep
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -74,6 +74,13 @@
             self.desk.put(part, Beat.CHANGED)
         return Beat.CHANGED
 
+    def forget(self, hosts: list[int]) -> None:
+        for host in hosts:
+            place = self.fleet.remove(host)
+            for places in (self.publisher.withdrawn, self.publisher.due):
+                places.discard(place)
+            self.desk.out.append(orders.Forget(host))
+
     def on_timer(self, token: int) -> Beat | None:
         if token == self.ASK:
             self.desk.out.append(self.ask)
@@ -85,6 +92,6 @@
             self.fleet.look()
             for part in (*self.hosts, self.balancer, self.levels):
                 self.desk.put(part, Beat.TURN)
-            self.publisher.forget()
+            self.forget(self.publisher.long_gone())
             return Beat.TURN
         return None
