--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -177,7 +177,8 @@
     def suspect(self) -> bool:
         """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
         fleet, i = self.fleet, self.place
-        excess = fleet.voided[i] - (self.STRAINED * fleet.best_part + self.VOIDED_EXCESS) * fleet.tries[i]
+        usual = fleet.best_part if fleet.cut[i] else fleet.voided_part  # in an overload probes get through
+        excess = fleet.voided[i] - (self.STRAINED * usual + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
     def silent(self) -> bool:
