--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -153,9 +153,9 @@
         fleet, i = self.fleet, self.place
         cut = fleet.cut[i] and self.desk.now - fleet.alarm_us < self.ALARM_US
         enough = self.bad_probes >= (1 if cut or self.silent() else self.BAD_PROBES)
-        sendable = fleet.state[i] is HostState.READY and not fleet.shut[i] and fleet.cap[i] > 0
         spared = sum(fleet.shut[i] for i in fleet.ready()) + 1 <= self.MOST_SHUT * len(fleet.ready())
-        if enough and sendable and spared and (cut or self.suspect()):
+        usual = fleet.best_part if fleet.cut[i] else fleet.voided_part  # in an overload probes get through
+        if enough and spared and i in fleet.playing() and (cut or self.suspect(usual)):
             fleet.shut[i], self.shut_us = True, self.desk.now
 
     def on_turn(self, _: Beat) -> None:
@@ -163,7 +163,7 @@
         if fleet.state[i] is not HostState.READY:
             return
         self.fade()
-        suspect = not fleet.shut[i] and self.suspect()
+        suspect = not fleet.shut[i] and self.suspect(fleet.best_part)
         if fleet.shut[i]:
             self.consider_return()
         else:
@@ -174,10 +174,9 @@
         if fleet.probe_always or (fleet.may_probe and (suspect or fleet.shut[i])):
             self.desk.out.append(orders.Probe(fleet.ids[i]))
 
-    def suspect(self) -> bool:
+    def suspect(self, usual: float) -> bool:
         """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
         fleet, i = self.fleet, self.place
-        usual = fleet.best_part if fleet.cut[i] else fleet.voided_part  # in an overload probes get through
         excess = fleet.voided[i] - (self.STRAINED * usual + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -130,7 +130,7 @@
         feed(bench, 1, skip=tuple(range(100, 106)))
     assert bench.lines[0].keys() == set(range(106, 112))
     shut = bench.steward.fleet.shut
-    monkeypatch.setattr(Host, "suspect", lambda self: True)
+    monkeypatch.setattr(Host, "suspect", lambda self, usual: True)
     for others, spared in ((9, False), (8, True)):
         shut[:] = [True] * others + [False] * (12 - others)
         bench.give(*[notes.ProbeResult(109, Outcome.SILENT, 500_000, None)] * 2)
