--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -52,7 +52,7 @@
         # By the best third, since two zones of three may be out of reach.
         best = sorted(heard, key=lambda i: self.voided[i] / self.tries[i])[:max(1, len(heard) // 3)]
         self.best_part = sum(self.voided[i] for i in best) / (sum(self.tries[i] for i in best) or 1.0)
-        self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) // 2] if heard else 0
+        self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) * 2 // 3] if heard else 0
         warm = [i for i in ready if self.cap[i] == NO_CAP]
         self.able, self.entering = len(warm), len(ready) - len(warm)
         self.most = max(self.most, self.able)
