Strangers are answered in time, unreadable streams end, and all room follows from the limits

Now: 1.5 s from connecting, then the word error and a close; the same at once for what can't be; first words of 1 KiB at most; who asks stays, as many as the limits leave; sixteen connections are taken before others are read, so that each is heard before younger ones push it out. Broken fields cost their message, lost bounds end the stream, which counts as left at once. Sums that can't be (more voided than tried, slower than any answer, loads beyond any host) are not believed. Limits follow a new configuration.

--- a/plankroute/net/admit.py
+++ b/plankroute/net/admit.py
@@ -39,8 +39,9 @@
 class Admission:
     """A peer's first word makes it a proxy or a collector; each may say only what is its own."""
 
-    def __init__(self, directory: Directory, proxies: int) -> None:
+    def __init__(self, directory: Directory, proxies: int, longest_us: int) -> None:
         self.directory, self.proxies = directory, proxies
+        self.longest_us = longest_us  # no try that was answered can have taken longer
         self.joined = set[int]()  # kept by the streams: proxies that are joined
 
     def admit(self, party: Party, said: wire.Said) -> notes.Note | Refused | None:
@@ -91,6 +92,8 @@
             return refused("sums from no collector")
         if host is None or zone is None:
             return refused("host or zone not known")
+        if said.voided > said.tries or said.mean_us > self.longest_us:
+            return refused("sums that can't be")
         return notes.HostSums(host, zone, said.tries, said.voided, said.mean_us, said.span_us, said.report)
 
     def traffic(self, party: Party, said: wire.TrafficSaid) -> notes.Note | Refused:
--- a/plankroute/net/boot.py
+++ b/plankroute/net/boot.py
@@ -7,9 +7,11 @@
 
 from plankroute.interface.facts import StartFacts
 from plankroute.net.address import host_and_port
-from plankroute.start import StartError, microseconds, start_from
+from plankroute.net.room import Room, room_for
+from plankroute.start import StartError, finite, microseconds, start_from
 
 USUAL_GATHER_MS = 5.0  # where the settings name no shortest time between batches
+USUAL_MB, USUAL_SOCKETS = 192.0, 1024  # where no limits are stated
 USUAL_DIAL_MS = 300.0  # nor how long a connection may take to come up
 
 
@@ -19,7 +21,7 @@
     listen: str
     discovery: str
     seed: int
-    descriptors: int
+    room: Room
     known: Any
     facts: StartFacts
     zones: tuple[str, ...]
@@ -42,7 +44,7 @@
         facts, _ = start_from(settings)
         return Boot(
             name=str(raw["name"]), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
-            seed=int(str(raw["seed"]), 16), descriptors=int((raw.get("limits") or {}).get("sockets", 1024)),
+            seed=int(str(raw["seed"]), 16), room=room(raw.get("limits") or {}),
             known=raw.get("known"), facts=facts, zones=names(settings["dcs"]),
             kinds=names(settings["machineTypes"]),
             products=names([item["name"] for item in settings["classes"]]),
@@ -52,5 +54,16 @@
         raise StartError(f"{type(error).__name__}: {error}") from error
 
 
+def room(limits: dict[str, Any]) -> Room:
+    memory_mb, sockets = limits.get("memory_mb", USUAL_MB), limits.get("sockets", USUAL_SOCKETS)
+    return room_for(figure(memory_mb), int(figure(sockets)))
+
+
+def figure(value: Any) -> float:
+    if (read := finite(float(value))) < 1:
+        raise ValueError(f"{value!r} is no limit")
+    return read
+
+
 def names(listed: list[Any]) -> tuple[str, ...]:
     return tuple(str(name) for name in listed)
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -16,8 +16,7 @@
 from plankroute.net.intake import LineCutter
 from plankroute.net.ring import Pool
 
-MOST_LIST = 16 << 20  # bytes: some ten thousand hosts
-LIMITS = Limits(dial_s=1.0, quiet_s=3.0, most_body=MOST_LIST)  # a sign of life comes every 2 s
+DIAL_S, QUIET_S = 1.0, 3.0  # a sign of life comes every 2 s
 AGAIN_S = 0.3  # pause before a new try, by half either way: a list may count as told 6 s after it was due
 MOST_LOGGED = 30  # entries of a list
 MOST_TEXT = 200  # characters of what came instead
@@ -27,8 +26,9 @@
 class Discovery:
     """Watches by itself where lists are pushed; else as the core orders, which then hears of failures."""
 
-    def __init__(self, address: str, directory: Directory, book: Book, seed: int,
+    def __init__(self, address: str, most_list: int, directory: Directory, book: Book, seed: int,
                  by_order: bool, put: Callable[[notes.Note], None]) -> None:
+        self.allow(most_list)
         self.address, self.directory, self.book, self.put = address, directory, book, put
         self.by_order, self.chance = by_order, Chance(seed)
         self.revision: int | None = None  # None: the next call is to bring the whole list
@@ -47,6 +47,10 @@
         if not self.by_order:
             self.watch_anew()
 
+    def allow(self, most_list: int) -> None:
+        """Bytes of a list; from the next call on."""
+        self.limits = Limits(DIAL_S, QUIET_S, most_list)
+
     def move(self, address: str) -> None:
         """Calls under way end here and begin anew there; what the list was is kept, and its revision."""
         self.address = address
@@ -97,7 +101,7 @@
 
     async def ask(self) -> bool:
         """The whole list, once."""
-        answer = await fetch(self.address, MEMBERS, LIMITS)
+        answer = await fetch(self.address, MEMBERS, self.limits)
         if isinstance(answer, Answer) and answer.status == 200 and self.take(answer.body):
             return True
         self.book.count("dropped.lists")
@@ -108,7 +112,7 @@
         """Until it ends: by its end, its silence, or by what can't be read."""
         if self.revision is None and not await self.ask():
             return
-        call = Call(self.address, watch_target(self.revision or 0), LIMITS)
+        call = Call(self.address, watch_target(self.revision or 0), self.limits)
         why = CallFailed(Reached.BODY, "ended")
         try:
             async with aclosing(call.pieces()) as pieces:
@@ -121,7 +125,8 @@
         self.book.log.event("warning", "watch_ended", reached=why.reached.value, why=why.why)
 
     async def follow(self, call: Call, pieces: AsyncIterator[bytes]) -> CallFailed | None:
-        cutter = LineCutter(MOST_LIST, Pool(2 * MOST_LIST))
+        most = self.limits.most_body
+        cutter = LineCutter(most, Pool(2 * most))
         async for piece in pieces:
             if call.status != 200:
                 return CallFailed(call.reached, f"status {call.status}")
--- a/plankroute/net/errors.py
+++ b/plankroute/net/errors.py
@@ -14,10 +14,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """A line that goes no further, and why."""
+    """A line that goes no further, and why; `is_end`: where the next one begins is not known any more."""
 
     stage: Stage
     why: str
+    is_end: bool = False
 
 
 class Reached(Enum):
--- a/plankroute/net/intake.py
+++ b/plankroute/net/intake.py
@@ -17,6 +17,10 @@
         self.most, self.ring = most, Ring(most + self.SLICE, pool)
         self.searched, self.skipping = 0, False
 
+    def allow(self, most: int) -> None:
+        """Other lines from here on."""
+        self.most, self.ring.most = most, most + self.SLICE
+
     def feed(self, piece: bytes) -> Iterator[bytes | Refused]:
         for at in range(0, len(piece), self.SLICE):
             slice_ = piece[at:at + self.SLICE]
@@ -26,11 +30,12 @@
 
     def pass_over(self, piece: bytes) -> Iterator[Refused]:
         """No room for it: what is held of the line is dropped, the rest of it skipped."""
+        too_long = self.ring.size + len(piece) > self.ring.most
         self.ring.release()
         self.searched = 0
         if not self.skipping:
             self.skipping = True
-            yield Refused(Stage.TAKE_IN, "line too long")
+            yield Refused(Stage.TAKE_IN, "line too long" if too_long else "no room left for lines", too_long)
         if (end := piece.find(b"\n")) >= 0:
             self.ring.put(piece[end:])  # its end stays, so that skipping ends there
 
@@ -40,7 +45,7 @@
             if self.skipping:
                 self.skipping = False
             else:
-                yield line if len(line) <= self.most else Refused(Stage.TAKE_IN, "line too long")
+                yield line if len(line) <= self.most else Refused(Stage.TAKE_IN, "line too long", True)
         self.searched = self.ring.size
         if self.skipping:
             self.ring.release()
--- a/plankroute/net/listener.py
+++ b/plankroute/net/listener.py
@@ -1,6 +1,7 @@
 """Connections at the steward's address: taken, read line by line, and ended."""
 
 import asyncio
+import socket
 import time
 from collections.abc import Callable
 
@@ -11,33 +12,45 @@
 from plankroute.net.errors import Refused
 from plankroute.net.peers import Peer
 from plankroute.net.ring import Pool
+from plankroute.net.room import Room
 from plankroute.net.streams import Streams
-from plankroute.net.wire import ALIVE, Asked, CollectorSaid, HostSaid, Said, read_line
-
-READ_AT_ONCE = 65536  # bytes
-ALL_RINGS = 48 << 20  # bytes of all rings together: a quarter of a small machine
-BACKLOG = 512
-MOST_STRANGERS = 128  # connections that have not yet said who they are: the oldest goes first
-STRANGER_S = 10.0  # how long one may take: a hello comes in pieces at worst
+from plankroute.net.wire import ALIVE, ERROR, Asked, CollectorSaid, HostSaid, Said, read_line
+
+READ_AT_ONCE = 16384  # bytes: a collector's second of lines
+TAKEN_BYTES = 65536  # the kernel's buffer of a connection: what one read may bring, times hundreds of them
+BACKLOG = 512  # connections that wait in the kernel: hundreds come at once
+AT_ONCE = 16  # are taken before others are read: each is heard before many younger ones could push it out
+STRANGER_S = 1.5  # from connecting: joinings come within a second, in pieces at worst
+MOST_ASKED = 32  # signs of life between two sweeps: who asks on without end is turned away
 QUIET_COLLECTOR_S = 60.0  # reports come each second or so; a late one must not cost the connection
-SPARE_DESCRIPTORS = 96  # for discovery, probes, the log and files
 
 
 class Listener:
-    def __init__(self, admission: Admission, streams: Streams, book: Book, descriptors: int,
+    def __init__(self, admission: Admission, streams: Streams, book: Book, room: Room,
                  put: Callable[[notes.Note], None]) -> None:
         self.admission, self.streams, self.book, self.put = admission, streams, book, put
-        self.allow(descriptors)
-        self.pool = Pool(ALL_RINGS)
-        self.peers = dict[Peer, None]()  # the oldest first
+        self.room, self.pool = room, Pool(room.ring_bytes)
+        self.peers = dict[Peer, None]()
+        # Of them, the oldest first: who has said nothing yet, and who has but asked for a sign of life.
+        self.strangers, self.askers = dict[Peer, None](), dict[Peer, None]()
         self.server: asyncio.Server | None = None
 
-    def allow(self, descriptors: int) -> None:
-        self.most = max(MOST_STRANGERS, descriptors - SPARE_DESCRIPTORS)
+    def allow(self, room: Room) -> None:
+        self.room = room
+        self.pool.allow(room.ring_bytes)
 
     async def open(self, address: str) -> None:
-        self.server = await asyncio.start_server(self.serve, *host_and_port(address), backlog=BACKLOG,
-                                                 limit=READ_AT_ONCE, reuse_address=True)
+        listening = socket.socket()
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, TAKEN_BYTES // 2)  # it is doubled
+            listening.bind(host_and_port(address))
+            self.server = await asyncio.start_server(self.serve, sock=listening, backlog=AT_ONCE,
+                                                     limit=READ_AT_ONCE)
+            listening.listen(BACKLOG)
+        except OSError:
+            listening.close()
+            raise
 
     def close(self) -> None:
         if self.server:
@@ -47,7 +60,7 @@
         """A connection from its start to its end; nothing that goes wrong with it goes further."""
         peer = Peer(writer, self.pool)
         self.book.count("taken.connections")
-        self.peers[peer] = None
+        self.peers[peer] = self.strangers[peer] = None
         self.make_room()
         pump = asyncio.create_task(peer.outlet.pump())
         why = "ended"
@@ -69,9 +82,8 @@
 
     def read(self, peer: Peer, data: bytes) -> None:
         """Nothing counts that comes from a connection that was ended, or whose proxy has a new stream."""
-        if not peer.is_stranger():
-            peer.heard = time.monotonic()
-            self.streams.hear(peer)
+        peer.heard = time.monotonic()
+        self.streams.hear(peer)
         for line in peer.cutter.feed(data):
             if peer.is_ending():
                 return
@@ -84,24 +96,47 @@
                 self.accept(peer, said, note)
 
     def refuse(self, peer: Peer, what: Refused) -> None:
-        """A stranger's connection ends with it; a stream or a collector goes on with its next line."""
+        """It costs a stranger the connection, and a stream or a collector where nothing can follow it."""
         self.book.refuse(what.stage.value, what.why, role=peer.party.role.value, proxy=peer.party.proxy)
         if peer.is_stranger():
+            peer.outlet.turn_away(ERROR)
+        elif what.is_end:
+            # Guards against a proxy that counts as left and stays so, on a stream that is of no more use.
+            self.book.count("dropped.unreadable")
             peer.outlet.reset()
+            self.streams.end(peer, what.why)
 
     def accept(self, peer: Peer, said: Said, note: notes.Note | None) -> None:
         self.book.count(f"taken.{type(said).__name__.removesuffix('Said').lower()}")
         if isinstance(said, HostSaid) and said.report:
             self.book.count_report(said.report)
         if isinstance(said, Asked):
-            peer.outlet.send(ALIVE)
+            self.answer(peer)
         if isinstance(said, CollectorSaid):
             self.replace_collector(peer)
+        if not peer.is_stranger():
+            self.strangers.pop(peer, None)
+            self.askers.pop(peer, None)
+            peer.join()
         if isinstance(note, notes.ProxyJoined):
             self.streams.join(peer, note)
         elif note is not None:
             self.put(note)
 
+    def answer(self, peer: Peer) -> None:
+        """One that does nothing but ask moves to the end of those that stay: the quiet ones go first."""
+        peer.outlet.send(ALIVE)
+        if not peer.is_stranger():
+            return
+        self.strangers.pop(peer, None)
+        self.askers.pop(peer, None)
+        self.askers[peer] = None
+        peer.times_asked += 1
+        if peer.times_asked > MOST_ASKED:
+            self.turn_away(peer)
+        elif len(self.askers) > self.room.askers:
+            self.turn_away(next(iter(self.askers)))
+
     def replace_collector(self, peer: Peer) -> None:
         """One that a cut has silenced never ends by itself: it goes when its zone's collector is back."""
         late, zone = time.monotonic() - QUIET_COLLECTOR_S, peer.party.zone
@@ -111,7 +146,8 @@
                 old.outlet.reset()
 
     def end(self, peer: Peer, why: str) -> None:
-        self.peers.pop(peer, None)
+        for held in (self.peers, self.strangers, self.askers):
+            held.pop(peer, None)
         self.streams.end(peer, why)
         if peer.party.role is Role.COLLECTOR:
             self.book.log.event("info", "collector_left", why=why)
@@ -119,25 +155,25 @@
         peer.outlet.close()
 
     def make_room(self) -> None:
-        """The oldest stranger goes where they are many, so that proxies and collectors always get in."""
-        if len(self.peers) <= MOST_STRANGERS:
-            return
-        strangers = self.strangers()
-        if len(strangers) > MOST_STRANGERS or (strangers and len(self.peers) > self.most):
-            self.drop_stranger(strangers[0])
+        """Where descriptors are few those that have but asked go first, then the oldest stranger."""
+        if len(self.peers) > self.room.peers and (waiting := self.askers or self.strangers):
+            self.turn_away(next(iter(waiting)))
+
+    def room_for_probes(self) -> int:
+        return self.room.probes + max(0, self.room.peers - len(self.peers)) // 2
 
     def sweep(self) -> None:
-        """Ends strangers who have said nothing for too long, and looks for silent streams."""
+        """Ends strangers whose time is over, and looks for silent streams."""
         self.streams.look()
         late = time.monotonic() - STRANGER_S
-        for peer in self.strangers():
-            if peer.heard < late:
-                self.drop_stranger(peer)
-
-    def strangers(self) -> list[Peer]:
-        """Without those that are ending: many come at once, and each is to make room for one."""
-        return [peer for peer in self.peers if peer.is_stranger() and not peer.is_ending()]
-
-    def drop_stranger(self, peer: Peer) -> None:
+        for peer in [peer for peer in self.strangers if peer.since < late]:
+            self.turn_away(peer)
+        for peer in self.askers:
+            peer.times_asked = 0
+
+    def turn_away(self, peer: Peer) -> None:
+        """It no longer counts, though its connection's end is still to run: each is to make room for one."""
+        for held in (self.peers, self.strangers, self.askers):
+            held.pop(peer, None)
         self.book.count("dropped.strangers")
-        peer.outlet.reset()
+        peer.outlet.turn_away(ERROR)
--- a/plankroute/net/peers.py
+++ b/plankroute/net/peers.py
@@ -7,17 +7,22 @@
 from plankroute.net.intake import LineCutter
 from plankroute.net.relay import Outlet
 from plankroute.net.ring import Pool
-from plankroute.net.wire import MOST_LINE
+from plankroute.net.wire import MOST_JOINING, MOST_LINE
 
 
 class Peer:
     def __init__(self, writer: asyncio.StreamWriter, pool: Pool) -> None:
-        self.party, self.cutter, self.outlet = Party(), LineCutter(MOST_LINE, pool), Outlet(writer, pool)
-        self.heard = self.asked = time.monotonic()  # heard: a stranger's start, until it has said who it is
+        self.party, self.cutter, self.outlet = Party(), LineCutter(MOST_JOINING, pool), Outlet(writer, pool)
+        self.since = self.heard = self.asked = time.monotonic()
+        self.times_asked = 0  # for a sign of life, since the last sweep
 
     def is_stranger(self) -> bool:
         return self.party.role in (Role.STRANGER, Role.ASKER)
 
+    def join(self) -> None:
+        """From here on its lines may be as long as the protocol has them."""
+        self.cutter.allow(MOST_LINE)
+
     def is_ending(self) -> bool:
         return self.outlet.writer.transport.is_closing()
 
--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -13,7 +13,6 @@
 from plankroute.net.http import Answer, Limits, fetch
 from plankroute.net.wire import read_report
 
-AT_ONCE = 64  # calls under way: a descriptor each
 MOST_BODY = 4096  # bytes: a report is one line
 
 
@@ -21,22 +20,33 @@
     """A connection a probe, closed after it: kept ones would lie idle, new ones cost half a millisecond."""
 
     def __init__(self, facts: StartFacts, directory: Directory, clock: Clock, book: Book, dial_us: int,
-                 put: Callable[[notes.Note], None]) -> None:
+                 at_once: Callable[[], int], put: Callable[[notes.Note], None]) -> None:
         self.directory, self.clock, self.book, self.put = directory, clock, book, put
+        self.at_once = at_once  # a descriptor each
         self.target = "/ping" if facts.reports is ReportWay.NONE else "/_load"
         # Hosts serve probes like txns: an answer may take twice as long as a connection.
         self.limits = Limits(dial_us / 1e6, 2 * dial_us / 1e6, MOST_BODY)
         self.busy: dict[int, asyncio.Task[None]] = {}
+        self.waiting = dict[int, None]()
         self.may_probe = facts.may_probe
 
     def probe(self, host: int) -> None:
-        if not self.may_probe or host in self.busy or len(self.busy) >= AT_ONCE:
+        if not self.may_probe or host in self.busy or host in self.waiting:
             self.book.count("dropped.probes")
             return
-        self.busy[host] = asyncio.create_task(self.call(host))
+        self.waiting[host] = None
+        self.start()
+
+    def start(self) -> None:
+        """As many as there is room for: streams come first."""
+        while self.waiting and len(self.busy) < max(1, self.at_once()):
+            host = next(iter(self.waiting))
+            del self.waiting[host]
+            if host in self.directory.hosts:
+                self.busy[host] = asyncio.create_task(self.call(host))
 
     async def call(self, host: int) -> None:
-        asked_us = self.clock.now()
+        asked_us, uid = self.clock.now(), self.directory.uid(host)
         self.book.count("sent.probes")
         try:
             async with asyncio.timeout(self.limits.dial_s + self.limits.quiet_s):
@@ -45,12 +55,13 @@
             answer = CallFailed(Reached.ASKED, str(error), timed_out=True)
         finally:
             del self.busy[host]
+            self.start()
         outcome, report = judge_call(answer)
         self.book.count(f"answered.probes.{outcome.name.lower()}")
         if report:
             self.book.count_report(report)
         if outcome is not Outcome.ANSWERED:
-            self.book.log.event("info", "probe_bad", host=self.directory.uid(host), outcome=outcome.value,
+            self.book.log.event("info", "probe_bad", host=uid, outcome=outcome.value,
                                 how=str(answer))
         self.put(notes.ProbeResult(host, outcome, self.clock.now() - asked_us, report))
 
--- a/plankroute/net/relay.py
+++ b/plankroute/net/relay.py
@@ -36,6 +36,13 @@
     def reset(self) -> None:
         self.writer.transport.abort()
 
+    def turn_away(self, words: bytes) -> None:
+        """Last words and the end; one that does not read what it is sent is not waited for."""
+        transport = self.writer.transport
+        if not transport.is_closing():
+            self.writer.write(self.ring.take(self.ring.size) + words)
+            transport.abort() if transport.get_write_buffer_size() else transport.close()
+
     def close(self) -> None:
         self.ring.release()
         self.writer.close()
--- a/plankroute/net/ring.py
+++ b/plankroute/net/ring.py
@@ -5,7 +5,12 @@
     """Bytes that all rings together may hold: many large peers must not add up to a memory kill."""
 
     def __init__(self, most: int) -> None:
-        self.left = most
+        self.most = self.left = most
+
+    def allow(self, most: int) -> None:
+        """Less than is held does no harm: nothing grows until enough was given back."""
+        self.left += most - self.most
+        self.most = most
 
 
 class Ring:
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -27,7 +27,7 @@
 from plankroute.steward import Steward
 
 OPEN_AGAIN_S, OPEN_EVERY_S = 5.0, 0.1  # how long, and how often, a held address is tried
-SWEEP_S = 1.0  # between looks at strangers
+SWEEP_S = 0.25  # between looks at strangers: their time is counted in seconds
 UNUSABLE = (KeyError, OSError, StartError)  # what a configuration that can't be used ends in
 KEPT = ("name", "listen", "facts", "zones", "kinds", "products")  # for the life of the process
 FINISH_S = 0.2  # for the last log lines: well within what operators leave after SIGTERM
@@ -41,14 +41,16 @@
         self.router = Router(Steward(boot.facts, boot.seed), Player(len(boot.products)), clock, book,
                              boot.gather_us)
         put = self.router.put
-        admission = Admission(self.directory, boot.facts.proxies)
+        longest_us = 2 * max((product.expiry_us for product in boot.facts.products), default=0)
+        admission = Admission(self.directory, boot.facts.proxies, longest_us)
         answer_s = boot.facts.queue_cap / max(1.0, boot.facts.lines_per_s) + boot.facts.way_most_us / 1e6
         streams = Streams(admission.joined, book, answer_s, put)
-        self.listener = Listener(admission, streams, book, boot.descriptors, put)
-        self.discovery = Discovery(boot.discovery, self.directory, book, boot.seed,
+        self.listener = Listener(admission, streams, book, boot.room, put)
+        self.discovery = Discovery(boot.discovery, boot.room.list_bytes, self.directory, book, boot.seed,
                                    boot.facts.must_subscribe, put)
         self.router.send = Sender(streams, Writer(boot.products, self.directory.uid), book).send
-        self.router.probe = Prober(boot.facts, self.directory, clock, book, boot.dial_us, put).probe
+        self.router.probe = Prober(boot.facts, self.directory, clock, book, boot.dial_us,
+                                   self.listener.room_for_probes, put).probe
         self.router.ask, self.router.forget = self.discovery.obey, self.directory.forget
 
     async def run(self) -> None:
@@ -80,8 +82,9 @@
             return
         kept = [name for name in KEPT if getattr(new, name) != getattr(self.boot, name)]
         moved = new.discovery != self.boot.discovery
-        self.boot = replace(self.boot, discovery=new.discovery, descriptors=new.descriptors)
-        self.listener.allow(self.boot.descriptors)
+        self.boot = replace(self.boot, discovery=new.discovery, room=new.room)
+        self.listener.allow(new.room)
+        self.discovery.allow(new.room.list_bytes)
         if moved:
             self.discovery.move(self.boot.discovery)
         self.book.count("taken.configurations")
--- a/plankroute/net/wire.py
+++ b/plankroute/net/wire.py
@@ -11,16 +11,20 @@
 from plankroute.start import load_report, microseconds
 
 MOST_LINE = 1 << 20  # bytes, by the protocol
+MOST_JOINING = 1024  # bytes: no first word comes near
 MOST_PARTS = 64  # of a message, by the protocol
 ROWS_A_PART = 4096  # keeps a part far below the longest line
 MOST_COUNT = 2**32 - 1  # no count of a report's span comes near
 MOST_MS = 86_400_000.0  # a day: longer spans are nonsense
+MOST_LOAD = 1e6  # of any figure of a load report: no host holds a million txns
 DIGITS = re.compile(r"[0-9]{1,10}")
 NUMBER = re.compile(r"[0-9]*\.?[0-9]+(?:[eE][+-]?[0-9]{1,3})?")
+PLAIN = re.compile(r"[a-z]+(?: [a-z]+=[^ =]*)*")  # a kind of another version, most likely
+TORN = re.compile(r"(?:agent|outcomes|hello|ack|demand) [a-z]+=")  # within a line: two messages ran together
 # Guards against load reports read as empty: hosts name figures as the settings do, or as the protocol's page.
 REPORT_FIELDS = SETTINGS_FIELDS | {"inflight": "inflight", "queue": "queue", "util": "util",
                                    "latency_ms": "service_us", "qps": "rate", "eps": "error_rate"}
-ALIVE = b"alive\r\n"
+ALIVE, ERROR = b"alive\r\n", b"error\r\n"
 
 
 @dataclass(frozen=True, slots=True)
@@ -135,17 +139,21 @@
 
 
 def read_line(line: bytes) -> Said | Refused:
-    """What a line without its LF says; its CR must be there."""
+    """What a line without its LF says; its CR must be there. A spoilt word is no end, lost bounds are."""
     if not line.endswith(b"\r"):
-        return Refused(Stage.READ, "no CRLF at the end")
+        return Refused(Stage.READ, "no CRLF at the end", True)
     try:
-        kind, *words = line[:-1].decode("ascii").split(" ")
-        if (reader := READERS.get(kind)) is None:
-            return Refused(Stage.READ, "kind not known")
-        return reader(Words(words))
+        text = line[:-1].decode("ascii")
     except UnicodeDecodeError:
-        return Refused(Stage.READ, "not ASCII")
+        return Refused(Stage.READ, "not ASCII", True)
+    kind, *words = text.split(" ")
+    if (reader := READERS.get(kind)) is None:
+        return Refused(Stage.READ, "kind not known", not PLAIN.fullmatch(text))
+    try:
+        return reader(Words(words))
     except Unreadable as error:
+        if TORN.search(text, 1):
+            return Refused(Stage.READ, "messages ran together", True)
         return Refused(Stage.READ, str(error))
 
 
@@ -199,4 +207,4 @@
 def report_from(pairs: Iterable[tuple[str, str, str]]) -> LoadReport:
     """What is not known by its name, or no figure, is left out: the sums beside it still count."""
     return load_report((REPORT_FIELDS[name], float(value)) for name, _, value in pairs
-                       if name in REPORT_FIELDS and NUMBER.fullmatch(value))
+                       if name in REPORT_FIELDS and NUMBER.fullmatch(value) and float(value) <= MOST_LOAD)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -22,6 +22,7 @@
 from plankroute.net.intake import LineCutter
 from plankroute.net.probes import judge_call
 from plankroute.net.ring import Pool, Ring
+from plankroute.net.room import FILES, room_for
 from plankroute.net.route import Router
 from plankroute.start import StartError
 from plankroute.steward import Steward
@@ -115,9 +116,45 @@
     assert isinstance(wire.read_line(LINES[0]), Refused)  # no CR
 
 
+@pytest.mark.parametrize("line, is_end", [
+    (b"demand node=3 route=lookup total=nan errors=0 interval=1", False),
+    (b"ack node=3 nonce= latency=1", False), (b"ack nonce=4 latency=1", False), (b"ack node=[1]", False),
+    (b"ack node=3 node=3 nonce=4 latency=1", False), (b"later node=3 word=x", False),
+    (b"ack node=3 nonce=demand node=3 route=lookup total=1 errors=0 interval=1", True),
+    (b"ack node=3 noncedemand node=3 route=lookup total=1 errors=0 interval=1", True),
+    (b"\x88\xc9ck node=3 nonce=4", True), (b"a9!k node=3", True), (b"", True), (b"GET / HTTP/1.1", True)])
+def test_a_spoilt_message_is_told_from_a_connection_of_no_more_use(line, is_end):
+    refused = wire.read_line(line + b"\r")
+    assert isinstance(refused, Refused) and refused.is_end is is_end
+
+
+def test_a_load_that_can_not_be_is_not_believed_and_the_sums_beside_it_are():
+    line = LINES[3].replace(b"inflight:7", b"inflight:38654705664")
+    said = wire.read_line(line + b"\r")
+    assert isinstance(said, wire.HostSaid) and said.tries == 212 and said.report == LoadReport(util=0.61)
+
+
+@pytest.mark.parametrize("memory_mb, descriptors", [(32, 256), (64, 256), (80, 384), (192, 1024)])
+def test_what_is_held_at_most_follows_from_the_limits(memory_mb, descriptors):
+    room = room_for(memory_mb, descriptors)
+    assert room.ring_bytes + 10 * room.list_bytes < memory_mb << 20
+    assert room.peers >= 0.8 * descriptors and room.peers + room.probes + FILES < descriptors
+    assert 0 < room.askers < room.peers / 8
+
+
+def test_a_pool_that_shrinks_takes_nothing_away_and_grows_nothing_until_enough_came_back():
+    pool = Pool(4096)
+    ring = Ring(8192, pool)
+    assert ring.put(bytes(4000))
+    pool.allow(2048)
+    assert len(ring.take(4000)) == 4000 and pool.left == 2048 and not ring.put(bytes(2049))
+    pool.allow(8192)
+    assert ring.put(bytes(8000))
+
+
 @pytest.mark.parametrize("seed", range(30))
 def test_generated_garbage_is_refused_or_read_and_never_raises(seed):
-    chance, admission = random.Random(seed), Admission(named("s-5be2a07c"), 9)
+    chance, admission = random.Random(seed), Admission(named("s-5be2a07c"), 9, 8 * SECOND)
     party = Party()
     for _ in range(300):
         line = bytearray(chance.choice(LINES) + b"\r")
@@ -134,7 +171,7 @@
 
 
 def test_a_proxy_and_a_collector_may_each_say_what_is_theirs():
-    admission, proxy, collector = Admission(named("s-5be2a07c"), 9), Party(), Party()
+    admission, proxy, collector = Admission(named("s-5be2a07c"), 9, 8 * SECOND), Party(), Party()
     assert admitted(admission, proxy, LINES[2]) == [notes.ProxyJoined(3, 0, 21.5, True)]
     admission.joined.add(3)
     proxy.marks.extend((904, 905, 906))
@@ -153,9 +190,10 @@
     (LINES[2], LINES[0]), (LINES[2], LINES[2]), (LINES[2], LINES[3]), (LINES[2], LINES[4]),
     (LINES[2], LINES[5].replace(b"node=3", b"node=4")), (LINES[0], LINES[2]), (LINES[0], LINES[4]),
     (LINES[0], LINES[5]), (LINES[0], LINES[3].replace(b"5be2a07c", b"0")),
-    (LINES[0], LINES[5].replace(b"lookup", b"zz"))])
+    (LINES[0], LINES[5].replace(b"lookup", b"zz")), (LINES[0], LINES[3].replace(b"errors=3", b"errors=213")),
+    (LINES[0], LINES[3].replace(b"rtt=41.7", b"rtt=8000.1"))])
 def test_what_a_peer_may_not_say_is_refused(first, line):
-    admission, party = Admission(named("s-5be2a07c"), 9), Party()
+    admission, party = Admission(named("s-5be2a07c"), 9, 8 * SECOND), Party()
     for known in [first] if first else []:
         admitted(admission, party, known)
     assert isinstance(admitted(admission, party, line)[0], Refused)
@@ -330,7 +368,8 @@
         router.work_on(now, [*batch, *map(notes.TimerDue, (Steward.PULSE, Steward.TURN))])
 
     first = listing(*[member(f"s-{n}") for n in range(12)])
-    work(known.note(list_from(first), ListKind.CACHED)[0], *[notes.ProxyJoined(p, 0, 9.0, True) for p in range(4)])
+    joined = [notes.ProxyJoined(proxy, 0, 9.0, True) for proxy in range(4)]
+    work(known.note(list_from(first), ListKind.CACHED)[0], *joined)
     for n in range(400):
         now += SECOND
         changed = [member(f"s-{n}", "DRAINING"), member(f"s-{n + 12}", boot_ms=now / 1000)]
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -10,6 +10,7 @@
 import sys
 from collections.abc import Awaitable, Callable, Iterator
 from contextlib import contextmanager
+from dataclasses import replace
 from pathlib import Path
 
 import orjson
@@ -19,6 +20,7 @@
 from plankroute.net.book import Book, Log
 from plankroute.net.boot import read_boot
 from plankroute.net.peers import Peer
+from plankroute.net.room import room_for
 from plankroute.net.service import Service
 
 SETTINGS = {
@@ -133,11 +135,11 @@
         bound = await proxy.hear("replace=1")
         assert all(f"s-{n}:" in bound for n in (1, 2, 3)) and "gate=1 again=1" in bound
         mark = bound.split("stamp=")[1]
-        proxy.say("\xff\xfe", "push rows=s-1:1", f"ack node=3 nonce={int(mark) + 1} latency=1", HELLO,
+        proxy.say("push rows=s-1:1", f"ack node=3 nonce={int(mark) + 1} latency=1", HELLO,
                   "agent locality=a", f"ack node=3 nonce={mark} latency=1.5", "probe")
         assert await proxy.hear("alive") == "alive"
         await stage.until(lambda: stage.service.router.steward.publisher.channel.waiting == 0)
-        assert stage.counts["dropped.read"] == 2 and stage.counts["dropped.admit"] == 3
+        assert stage.counts["dropped.read"] == 1 and stage.counts["dropped.admit"] == 3
 
     play(scene)
 
@@ -200,7 +202,7 @@
             elsewhere.tell(watch, orjson.dumps(listing(42, "s-1", whole=False, state="DRAINING")) + b"\n")
             assert "s-1:0" in await proxy.hear("rows")  # on the same stream
             await stage.until(lambda: old.write(b"1\r\n\n\r\n") or old.transport.is_closing())
-            assert stage.service.listener.most == 600 - listener.SPARE_DESCRIPTORS
+            assert stage.service.listener.room == room_for(192, 600)
             await reload(stage, orjson.dumps(moved), "taken.configurations")  # the same again: nothing moves
             assert elsewhere.asked.empty() and stage.agent.asked.qsize() == 1
 
@@ -246,33 +248,87 @@
     play(scene)
 
 
-def test_strangers_go_and_collectors_and_proxies_stay(monkeypatch):
-    monkeypatch.setattr(listener, "MOST_STRANGERS", 3)
-    monkeypatch.setattr(listener, "STRANGER_S", 0.0)
+@pytest.mark.parametrize("rude", [
+    b"GET / HTTP/1.1\r\n", b"\x16\x03\x01\x02\x00\x01\n", b"hello node=99 locality=a w=1 cold=1\r\n",
+    b"agent locality=zz\r\n", b"push rows=s-1:1\r\n", b"ack node=3 nonce=1 latency=1\r\n", b"x" * 6000,
+    b"outcomes locality=a endpoint=s-1 total=9 errors=0 rtt=1 interval=1\r\n", b"probe\r\n" * 40])
+def test_who_says_what_can_not_be_is_told_and_turned_away(rude):
+    async def scene(stage: Stage) -> None:
+        caller = await stage.dial()
+        caller.writer.write(rude + b"\r\n" + HELLO.encode() + b"\r\n")  # what follows no longer counts
+        assert await caller.hear("error") == "error"
+        await stage.until(lambda: not stage.service.listener.peers)
+        assert not stage.service.listener.streams.by_proxy
+
+    play(scene)
 
+
+def test_strangers_have_their_time_and_who_has_asked_stays():
     async def scene(stage: Stage) -> None:
-        collector = await stage.dial("agent locality=a")
-        proxy = await stage.dial(HELLO)
+        listens = stage.service.listener
+        asker, silent, half = await stage.dial("probe"), await stage.dial(), await stage.dial()
+        half.writer.write(HELLO[:20].encode())
+        await asker.hear("alive")
+        await stage.until(lambda: len(listens.peers) == 3 and stage.counts["taken.bytes"] == 27)
+        listens.sweep()
+        assert len(listens.strangers) == 2  # in time yet
+        for peer in listens.peers:
+            peer.since -= listener.STRANGER_S
+        half.writer.write(HELLO[20:24].encode())  # the time counts from connecting, not from the last byte
+        await stage.until(lambda: stage.counts["taken.bytes"] == 31)
+        listens.sweep()
+        assert await silent.hear() == await half.hear() == "error"
+        assert await silent.is_ended() and await half.is_ended()
+        asker.say("probe")
+        assert await asker.hear() == "alive"
+
+    play(scene)
+
+
+def test_hundreds_of_strangers_leave_room_for_proxies_and_collectors():
+    async def scene(stage: Stage) -> None:
+        listens = stage.service.listener
+        listens.room = replace(listens.room, peers=60, askers=3)
+        collector, proxy = await stage.dial("agent locality=a"), await stage.dial(HELLO)
         await proxy.hear("replace=1")
-        rude = await stage.dial("GET / HTTP/1.1", HELLO.replace("=3", "=4"))  # what follows no longer counts
-        assert await rude.is_ended() and list(stage.service.listener.streams.by_proxy) == [3]
-        cut = await stage.dial()
-        cut.writer.write(HELLO[:20].encode())
-        cut.writer.transport.abort()
-        silent = await asyncio.gather(*[stage.dial() for _ in range(50)])
-        await stage.until(lambda: stage.counts["taken.connections"] >= 53)
-        await stage.until(lambda: len(stage.service.listener.peers) == 5)
-        stage.service.listener.sweep()
-        assert await silent[-1].is_ended()
-        sums = "outcomes locality=a endpoint=s-1 total=9 errors=0 rtt=41.7 interval=1000 metrics=inflight:7"
-        collector.say(sums, sums.replace("s-1", "s-9"))
-        await stage.until(lambda: stage.counts["taken.host"] == 1 and stage.counts["dropped.admit"] == 1)
+        silent = await asyncio.gather(*[stage.dial() for _ in range(200)])
+        asking = await asyncio.gather(*[stage.dial("probe") for _ in range(50)])
+        await stage.until(lambda: stage.counts["taken.asked"] == 50)
+        late, hello = await stage.dial(), HELLO.replace("=3", "=4")
+        late.writer.write(hello[:20].encode())
+        await stage.until(lambda: len(listens.peers) <= 60 and stage.counts["taken.connections"] == 253)
+        late.say(hello[20:], "probe")
+        assert await late.hear("alive") == "alive"
+        assert len(listens.askers) <= 3 and await asking[0].hear() == "alive"
+        assert await silent[0].hear() == "error"
+        collector.say("outcomes locality=a endpoint=s-1 total=9 errors=0 rtt=41.7 interval=1000")
+        await stage.until(lambda: stage.counts["taken.host"] == 1)
         proxy.say("probe")
         assert await proxy.hear("alive") == "alive"
 
     play(scene)
 
 
+@pytest.mark.parametrize("torn", [b"\x88\xc9\x90\r\n", b"ack node=3 nonce=demand node=3 route=lookup\r\n"])
+def test_a_stream_that_goes_on_unreadable_ends_and_the_proxys_new_one_is_taken(torn):
+    async def scene(stage: Stage) -> None:
+        publisher = stage.service.router.steward.publisher
+        proxy, collector = await stage.dial(HELLO), await stage.dial("agent locality=a")
+        await proxy.hear("replace=1")
+        good = "demand node=3 route=lookup total=1 errors=0 interval=1000"
+        proxy.say("ack node=3 nonce=nan latency=1", good.replace("=1 ", "=-3 "), good)
+        await stage.until(lambda: stage.counts["taken.traffic"] == 1)  # what is spoilt costs itself alone
+        assert publisher.zone_of and stage.counts["dropped.read"] == 2
+        for caller in (proxy, collector):
+            caller.writer.write(torn)
+            assert await caller.is_ended()
+        await stage.until(lambda: not publisher.zone_of)
+        again = await stage.dial(HELLO.replace("cold=1", "cold=0"))
+        assert await again.hear("replace=1") and stage.counts["dropped.unreadable"] == 2
+
+    play(scene)
+
+
 def test_a_collector_that_fell_silent_goes_when_its_zones_is_back(monkeypatch):
     async def scene(stage: Stage) -> None:
         old, other = await stage.dial("agent locality=a"), await stage.dial("agent locality=b")
