A steward that starts anew takes its weights from the tries that old tables bring each host

Seen: after a restart tables are even again, and with all proxies on one steward five slots a second are relearnt. Who joins with an old table keeps it until sums tell what it brings each host (8 tries a host, 5 s at most), then is bound to that.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -40,6 +40,7 @@
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.best_part = 0.0  # voided by the best third
         self.able = self.entering = self.last_us = self.alarm_us = 0
+        self.inherits_us: int | None = 0  # 0: nobody joined yet; since when all are on old tables; None: not
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
     def look(self) -> None:
@@ -60,8 +61,7 @@
         for kin in grouped(warm, lambda i: self.kind[i]):
             self.kin[self.kind[kin[0]]] = sum(self.weight[i] for i in kin) / len(kin)
 
-    def kin_mean(self, place: int) -> float:
-        """The usual weight of its kind; of one not known warm the least: it may be small."""
+    def kin_mean(self, place: int) -> float:  # of a kind not known warm the least: it may be small
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
 
@@ -107,9 +107,9 @@
         self.warm()
 
     def warm(self) -> None:
-        """Guards against a host pushed over as it starts, whoever else sends there: it gets what it bears.
+        """Guards against a host pushed over as it starts: where tries are voided, proxies flock to it.
 
-        Where tries are voided less: proxies shun others and flock to it. Harm: a fast warmer could take more.
+        Harm: a fast warmer could take more.
         """
         fleet, i, share = self.fleet, self.place, self.share
         age = max(0, self.desk.now - self.started_us)
@@ -126,8 +126,8 @@
         fleet.cap[i] = 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
     def fade(self) -> None:
-        self.fleet.fade(self.place, 0.5 ** ((self.desk.now - self.faded_us) / MEMORY_US))
-        self.faded_us = self.desk.now
+        now, before, self.faded_us = self.desk.now, self.faded_us, self.desk.now
+        self.fleet.fade(self.place, 0.5 ** ((now - before) / MEMORY_US))
 
     def on_sums(self, sums: notes.HostSums) -> None:
         """Guards against hosts that void txns fast and so look empty: each counts as late."""
@@ -163,31 +163,27 @@
         if fleet.state[i] is not HostState.READY:
             return
         self.fade()
-        suspect = not fleet.shut[i] and self.suspect(fleet.best_part)
+        ask = fleet.probe_always or fleet.shut[i] or self.suspect(fleet.best_part)
         if fleet.shut[i]:
             self.consider_return()
         else:
             self.share = min(1.0, self.share * self.RISE)
-            if not suspect and not fleet.probe_always:
-                self.bad_probes = 0
+            self.bad_probes *= ask
         self.warm()
-        if fleet.probe_always or (fleet.may_probe and (suspect or fleet.shut[i])):
+        if fleet.may_probe and ask:
             self.desk.out.append(orders.Probe(fleet.ids[i]))
 
-    def suspect(self, usual: float) -> bool:
-        """By symptom, whatever the cause: it voids txns, or says nothing where others are heard."""
+    def suspect(self, usual: float) -> bool:  # by symptom, whatever the cause
         fleet, i = self.fleet, self.place
         excess = fleet.voided[i] - (self.STRAINED * usual + self.VOIDED_EXCESS) * fleet.tries[i]
         return (excess > 0 and fleet.voided[i] >= self.LEAST_VOIDED) or self.silent()
 
-    def silent(self) -> bool:
-        """No word for a time in which most others spoke and a host of its weight is tried often."""
+    def silent(self) -> bool:  # while others spoke, and a host of its weight is tried often
         fleet, i = self.fleet, self.place
         per_us = fleet.tries_a_weight * fleet.counted(i) * LN_2 / MEMORY_US
         return (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
-    def consider_return(self) -> None:
-        """After good probes in a row; where none may be sent, after as many turns."""
+    def consider_return(self) -> None:  # after good probes in a row; where none may be sent, as many turns
         fleet, i = self.fleet, self.place
         waited = self.desk.now - self.shut_us > self.needed * SECOND_US
         if self.good_probes >= self.needed or (waited and not fleet.may_probe):
@@ -207,7 +203,8 @@
     PAYS = 1.2  # times the least move that is worth its line: a shorter lead would keep the slot for good
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
-    PRIOR_TRIES = 3.0  # shrinks a host's mean time to its kind's while few tries are counted
+    PRIOR_TRIES = 3.0  # shrinks a host's mean time, or weight, to its kind's while few tries are counted
+    ENOUGH, WAIT_US, SETTLED = 8.0, 5 * SECOND_US, 6  # tries a host, and time, to take over; its turn by then
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
         super().__init__(desk)
@@ -216,7 +213,9 @@
 
     def handle(self, note: Any) -> None:
         fleet, playing = self.fleet, self.fleet.playing()
-        fills = self.fills(playing)
+        if fleet.inherits_us and playing:
+            self.take_over(playing)
+        fills = {} if fleet.inherits_us else self.fills(playing)
         if not fills:
             return
         mean_fill = sum(fills.values()) / len(fills)
@@ -243,6 +242,18 @@
         for i in playing:
             fleet.weight[i] *= scale
 
+    def take_over(self, playing: list[int]) -> None:
+        """Guards against a restart that undoes what was learnt: old tables show in the tries they bring."""
+        fleet, prior = self.fleet, self.PRIOR_TRIES
+        mean = sum(fleet.tries[i] for i in playing) / len(playing)
+        if mean >= self.ENOUGH or self.desk.now - fleet.inherits_us > self.WAIT_US:
+            fleet.inherits_us, self.turns = None, self.SETTLED
+            for kin in grouped(playing, lambda i: fleet.kind[i]):
+                kind = (sum(fleet.tries[i] for i in kin) + prior) / (mean * len(kin) + prior)
+                for i in kin:
+                    fleet.standing[i] = 0.0  # no slot holds the weight back
+                    fleet.weight[i] = kind * (fleet.tries[i] + prior) / (kind * mean + prior)
+
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
         fleet, times = self.fleet, self.times(playing)
@@ -271,8 +282,7 @@
         tries = max(1.0, sum(fleet.tries[i] for i in hosts)) / MEMORY_US  # no reports: this steward's alone
         return tries / sum(fleet.counted(i) for i in hosts)
 
-    def times(self, playing: list[int]) -> dict[int, float]:
-        """Each host's mean time, shrunk to its kind's; none for kinds that are not heard."""
+    def times(self, playing: list[int]) -> dict[int, float]:  # shrunk to their kind's; none for kinds unheard
         fleet, times = self.fleet, dict[int, float]()
         for kin in grouped(playing, lambda i: fleet.kind[i]):
             tries = sum(fleet.tries[i] for i in kin)
@@ -312,8 +322,7 @@
         return {i: max(1, count) for i, count in slots.items()}
 
 
-def tables_for(facts: StartFacts) -> list[Table]:
-    """One shared table; a further one only for products that may not use every host."""
+def tables_for(facts: StartFacts) -> list[Table]:  # one; others for products that may not use every host
     tables: dict[tuple[Any, ...], Table] = {}
     for place, product in enumerate(facts.products):
         for zone in range(facts.zones) if product.own_zone else (None,):
@@ -324,10 +333,7 @@
 
 
 class Publisher(Actor):
-    """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take.
-
-    Lines and heads are paid at every proxy: messages are full, of slots that move most and are worth it.
-    """
+    """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
 
     PULSE_US = SECOND_US // 10  # well within any grace, and shorter than a message's way
     ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
@@ -335,10 +341,10 @@
     WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a tenth or so, for the time that a slot stands
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
-    # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
+    # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
 
@@ -347,8 +353,8 @@
         self.fleet, self.limit, self.lines_a_us = fleet, facts.queue_cap, facts.lines_per_s / SECOND_US
         self.channel = Channel(facts.head_lines, self.lines_a_us)
         self.spare_us = max(0, facts.grace_us - facts.way_most_us)
-        in_time = self.GRACE_PART * self.spare_us * self.lines_a_us
-        self.allowance = min(self.ORDINARY_PART * facts.queue_cap, in_time)
+        in_time = self.spare_us * self.lines_a_us
+        self.allowance = min(self.ORDINARY_PART * self.limit, self.GRACE_PART * in_time)
         self.round = (2 * self.PULSE_US + 2 * facts.way_us) * self.lines_a_us  # lines
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
@@ -379,6 +385,8 @@
                 self.zone_of[note.proxy] = note.zone
                 self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
                 self.untold_us = self.untold_us or self.desk.now
+                if self.fleet.inherits_us == 0:
+                    self.fleet.inherits_us = None if note.fresh else self.desk.now
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
                 self.count_broken()
@@ -399,8 +407,7 @@
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
-    def count_broken(self) -> None:
-        """Streams that break together may tell of a cut, seconds before sums do: all hosts are asked."""
+    def count_broken(self) -> None:  # together they may tell of a cut, seconds before sums: all are asked
         fleet, now = self.fleet, self.desk.now
         self.broken = [at for at in self.broken if at > now - SECOND_US] + [now]
         if len(self.broken) > max(2, self.BURST * len(self.zone_of)) and now - fleet.alarm_us > SECOND_US:
@@ -431,13 +438,13 @@
         for change in (c for c in changes if c.urgent):
             room -= self.set_line(change, room)
         if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
-            room = min(room, self.room(self.allowance) - heads)
+            # Before anybody is bound lines cost nothing: binds are to carry the newest.
+            room = min(room, self.room(self.allowance) - heads) if self.bound else NO_CAP
             self.write_ordinary([c for c in changes if not c.urgent], room)
         if self.channel.batch:
             self.written_us = self.desk.now
 
-    def changes(self) -> Iterator[Change]:
-        """Worth more where a slot is to fall: txns there are late already."""
+    def changes(self) -> Iterator[Change]:  # worth more where a slot is to fall: txns there are late already
         fleet, products = self.fleet, sum(len(table.products) for table in self.tables)
         for table in self.tables:
             slots = table.slots(fleet, self.withdrawn | self.due)
@@ -471,8 +478,7 @@
             for change in worth:
                 room -= self.set_line(change, room)
 
-    def set_line(self, change: Change, room: float) -> int:
-        """The lines that it took: none where there is no room."""
+    def set_line(self, change: Change, room: float) -> int:  # the lines it took: none where there is no room
         users = self.users(change.table)
         if len(users) > room:
             return 0
@@ -510,12 +516,11 @@
         elif self.untold_us is not None and now - self.told_us >= self.most_gap_us:
             a_bind = self.channel.head + sum(1 + len(t.pushed) + 2 * len(t.products) for t in self.tables)
             in_time = (self.IN_TIME * self.spare_us - (now - self.untold_us)) * self.lines_a_us
-            if self.channel.waiting + len(self.unbound) * a_bind > in_time:
+            if fleet.inherits_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
                 self.due.update(i for i in fleet.index.values() if fleet.state[i] is not HostState.READY)
                 self.untold_us = None
 
-    def long_gone(self) -> list[int]:
-        """Hosts of which nothing is kept from here."""
+    def long_gone(self) -> list[int]:  # hosts of which nothing is kept from here
         fleet, late = self.fleet, self.desk.now - self.KEEP_US
         return [host for host, i in fleet.index.items() if fleet.state[i] is HostState.GONE
                 and fleet.heard_us[i] < late and not self.naming(i)]
@@ -538,7 +543,7 @@
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
-        filled, out = any(t.pushed for t in self.tables), self.withdrawn
+        filled, out = any(t.pushed for t in self.tables) and not self.fleet.inherits_us, self.withdrawn
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
@@ -550,18 +555,13 @@
                 products = tuple(table.products) if len(self.tables) > 1 else None
                 self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
 
-    def close(self) -> None:
-        """Marks what this batch wrote; the answers tell when it has left the channel."""
+    def close(self) -> None:  # marks what this batch wrote: the answers tell when it has left the channel
         if mark := self.channel.close():
             self.desk.out.append(orders.Mark(mark))
 
 
 class Levels(Actor):
-    """Declines early while answers are late: table by table, so zone by zone where products stay in one.
-
-    Guards against overload, by answers that come: behind a cut txns are lost however few come in. Never
-    less is let in than is settled just now: what is known is old. Harm: late answers of hosts not full.
-    """
+    """Declines early while answers are late, table by table; lets in no less than is settled just now."""
 
     HIGH, LOW = 0.55, 0.45  # of the SLA time: a mean beyond it leaves a long tail past it
     FALL, RISE, LEAST = 0.7, 1.15, 0.1  # a turn: quick enough for a burst, slow enough for late reports
@@ -622,8 +622,7 @@
             self.sent[table.number, product] = level
             self.desk.put(self.publisher, orders.SetLevel(table.number, (product,), level, Publisher.RETRY))
 
-    def rate_for(self, table: Table, product: int, share: float) -> float:
-        """The rate at each proxy by which the share of all comes in: the small ones keep theirs whole."""
+    def rate_for(self, table: Table, product: int, share: float) -> float:  # small proxies keep theirs whole
         joined = self.publisher.zone_of.items()
         rates = [self.rates.get((proxy, product), 0.0) for proxy, zone in joined if table.held_in(zone)]
         cap = even_cap(rates, share * sum(rates))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -251,6 +251,31 @@
     assert orders.SetLine(0, 100, 0.0) in bench.give(changes(entry(100, DRAINING)))
 
 
+def test_a_steward_that_starts_anew_takes_over_what_old_tables_have_learnt():
+    """Guards against even weights for proxies whose tables were right: their tries tell the weights."""
+    bench = Bench(start_facts(proxies=30))
+    bench.give(full(*[entry(100 + i, zone=i % 3, kind=i % 2) for i in range(12)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, False) for p in range(30)])
+    for _ in range(2):
+        assert not bench.bound
+        bench.give(*[notes.HostSums(host, 0, 9 if host % 2 else 3, 0, 2e5, SECOND, None)
+                     for host in bench.hosts])
+        bench.pass_time(SECOND)
+    bench.pass_time(SECOND)
+    assert len(bench.bound) == 30 and bench.lines[0][101] > 2 * bench.lines[0][100]
+    fresh = ready_bench(proxies=2)
+    assert fresh.bound  # nobody has learnt anything yet: at once
+
+
+def test_a_steward_that_hears_too_little_to_take_over_does_not_wait_for_good():
+    bench = Bench(start_facts())
+    bench.give(full(entry(100), entry(101)), notes.ProxyJoined(0, 0, 1.0, False))
+    bench.give(changes(entry(100, DRAINING)))  # told even while it waits
+    assert orders.Withdraw(100, True) in bench.log
+    bench.pass_time(7 * SECOND)
+    assert bench.bound and bench.lines[0][101] > 0
+
+
 def test_who_joins_is_bound_and_nobody_is_told_again_who_is_gone():
     """Guards against drains that wait behind withdrawals given again to all, each time that a proxy joins."""
     bench, _ = large_bench(3)
