--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -438,8 +438,7 @@
         for change in (c for c in changes if c.urgent):
             room -= self.set_line(change, room)
         if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
-            # Before anybody is bound lines cost nothing: binds are to carry the newest.
-            room = min(room, self.room(self.allowance) - heads) if self.bound else NO_CAP
+            room = min(room, self.room(self.allowance) - heads)
             self.write_ordinary([c for c in changes if not c.urgent], room)
         if self.channel.batch:
             self.written_us = self.desk.now
@@ -536,13 +535,14 @@
     def users(self, table: Table) -> list[int]:
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
-    def room(self, most_queued: float) -> float:
-        """For what can wait: no more may be queued, and a message that drains a host must always fit."""
+    def room(self, most_queued: float) -> float:  # for what can wait: a drain's message must always fit
         most = max(self.bind_allowance, self.limit - len(self.zone_of) * (self.channel.head + 1))
         return min(most_queued - self.channel.queued, most - self.channel.waiting)
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
+        for change in () if self.bound or self.fleet.inherits_us else list(self.changes()):
+            self.set_line(change, NO_CAP)  # nobody pays for them yet, and binds are to carry the newest
         filled, out = any(t.pushed for t in self.tables) and not self.fleet.inherits_us, self.withdrawn
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -253,16 +253,22 @@
 
 def test_a_steward_that_starts_anew_takes_over_what_old_tables_have_learnt():
     """Guards against even weights for proxies whose tables were right: their tries tell the weights."""
-    bench = Bench(start_facts(proxies=30))
-    bench.give(full(*[entry(100 + i, zone=i % 3, kind=i % 2) for i in range(12)]))
+    bench = Bench(start_facts(proxies=30, grace_us=7 * SECOND))
+    bench.give(full(*[entry(100 + i, zone=i % 3, kind=i % 2) for i in range(12)], entry(200), entry(201)))
     bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, False) for p in range(30)])
-    for _ in range(2):
+    for host in (200, 201):
         assert not bench.bound
         bench.give(*[notes.HostSums(host, 0, 9 if host % 2 else 3, 0, 2e5, SECOND, None)
-                     for host in bench.hosts])
-        bench.pass_time(SECOND)
+                     for host in range(100, 112)])
+        bench.pass_time(SECOND // 2)
+        bench.steward.publisher.round = 100.0  # a channel that is busy with withdrawals
+        bench.give(changes(entry(host, DRAINING)))
+        bench.rate = 0.0
+        bench.pass_time(SECOND // 2)
+    assert bench.bound and bench.lines[0][101] > 2 * bench.lines[0][100]  # binds carry it already
+    bench.rate = bench.facts.lines_per_s
     bench.pass_time(SECOND)
-    assert len(bench.bound) == 30 and bench.lines[0][101] > 2 * bench.lines[0][100]
+    assert len(bench.bound) == 30
     fresh = ready_bench(proxies=2)
     assert fresh.bound  # nobody has learnt anything yet: at once
 
