No probe begins while the steward ends

Seen: twenty loop_failed lines at each SIGTERM since probes wait for room: a cancelled probe's end began the next one, which nobody cancelled any more (Prober.call, start).

--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -37,6 +37,11 @@
         self.waiting[host] = None
         self.start()
 
+    def close(self) -> None:
+        """Guards against probes that begin while the loop ends, where nobody cancels them."""
+        self.may_probe = False
+        self.waiting.clear()
+
     def start(self) -> None:
         """As many as there is room for: streams come first."""
         while self.waiting and len(self.busy) < max(1, self.at_once()):
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -49,8 +49,9 @@
         self.discovery = Discovery(boot.discovery, boot.room.list_bytes, self.directory, book, boot.seed,
                                    boot.facts.must_subscribe, put)
         self.router.send = Sender(streams, Writer(boot.products, self.directory.uid), book).send
-        self.router.probe = Prober(boot.facts, self.directory, clock, book, boot.dial_us,
-                                   self.listener.room_for_probes, put).probe
+        self.prober = Prober(boot.facts, self.directory, clock, book, boot.dial_us,
+                             self.listener.room_for_probes, put)
+        self.router.probe = self.prober.probe
         self.router.ask, self.router.forget = self.discovery.obey, self.directory.forget
 
     async def run(self) -> None:
@@ -70,6 +71,7 @@
         sweeping = asyncio.create_task(self.sweep())
         await self.stop.wait()
         sweeping.cancel()
+        self.prober.close()
         self.listener.close()
 
     def reload(self) -> None:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -428,6 +428,23 @@
     assert not [line for line in said if line["level"] == "error"]
 
 
+def test_probes_wait_for_room_and_none_begins_once_the_steward_ends():
+    log = list[bytes]()
+
+    async def scene(stage: Stage) -> None:
+        prober = stage.service.prober
+        prober.at_once = lambda: 1
+        stage.service.directory.hosts[1].address = stage.service.boot.discovery  # it answers without an end
+        for host in (0, 1, 2, 2):
+            prober.probe(host)
+        assert len(prober.busy) == 1 and len(prober.waiting) == 2 and stage.counts["dropped.probes"] == 1
+        await stage.until(lambda: stage.counts["sent.probes"] == 2)
+
+    stage = play(scene, log)
+    assert stage.counts["sent.probes"] == 2 and not stage.service.prober.waiting
+    assert not [line for line in log if b"loop_failed" in line]
+
+
 def test_a_killed_steward_listens_again_at_once_at_its_address(tmp_path):
     text = config(discovery=9, listen=(port := free_port()))
     with process(tmp_path / "config.json", text), socket.create_connection(("127.0.0.1", port)):
