--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -74,9 +74,10 @@
 def judge_call(answer: Answer | CallFailed) -> tuple[Outcome, LoadReport | None]:
     """How the call ended, in the words of the notes."""
     if isinstance(answer, CallFailed):
-        if answer.reached is Reached.NOTHING or not answer.timed_out:
+        if answer.reached is Reached.NOTHING:
             return Outcome.UNREACHED, None
-        return Outcome.SILENT, None
+        # Guards against a connection that broke taken for a host out of reach: it was there.
+        return Outcome.SILENT if answer.timed_out else Outcome.ERROR, None
     if answer.status != 200:
         return Outcome.ERROR, None
     return Outcome.ANSWERED, read_report(answer.body)
--- a/plankroute/simwire/records.py
+++ b/plankroute/simwire/records.py
@@ -16,7 +16,7 @@
 LIST_KINDS = {0: notes.ListKind.CACHED, 1: notes.ListKind.FULL, 2: notes.ListKind.CHANGES,
               3: notes.ListKind.FAILED}
 OUTCOMES = {0: notes.Outcome.ANSWERED, 5: notes.Outcome.ERROR, 11: notes.Outcome.TURNED_AWAY,
-            110: notes.Outcome.SILENT, 111: notes.Outcome.UNREACHED, 104: notes.Outcome.UNREACHED}
+            110: notes.Outcome.SILENT, 111: notes.Outcome.UNREACHED, 104: notes.Outcome.ERROR}
 ENTRY = struct.Struct("<dfHBHIH")
 EVENTS = {0: "enlist", 1: "sync", 2: "ring", 3: "status_back", 4: "mail", 5: "destroy", 6: "attached",
           7: "dropped_off", 8: "installed", 9: "stats", 10: "traffic", 11: "pressure", 12: "mandate",
