--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -261,6 +261,8 @@
                 for i in kin:
                     fleet.standing[i] = 0.0  # no slot holds the weight back
                     fleet.weight[i] = kind * (shown[i] + prior) / (kind * mean + prior)
+                    if not old:  # by kind: one answer may come from anywhere
+                        fleet.weight[i] = sorted(shown[j] for j in kin)[len(kin) // 2] / self.ENOUGH or 1.0
 
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
