--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -87,8 +87,6 @@
         self.fleet, self.place, self.started_us, self.share = fleet, place, 0, 1.0
         self.faded_us = self.shut_us = fleet.heard_us[place] = desk.now
         self.good_probes, self.bad_probes, self.needed = 0, 0, self.GOOD_PROBES
-        if fleet.may_probe and fleet.learning_us == 0:
-            desk.out.append(orders.Probe(fleet.ids[place]))  # nobody joined yet: its time tells the speed
         self.work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
                      notes.ProbeResult: self.on_probe, Beat: self.on_turn}
 
@@ -261,8 +259,6 @@
                 for i in kin:
                     fleet.standing[i] = 0.0  # no slot holds the weight back
                     fleet.weight[i] = kind * (shown[i] + prior) / (kind * mean + prior)
-                    if not old:  # by kind: one answer may come from anywhere
-                        fleet.weight[i] = sorted(shown[j] for j in kin)[len(kin) // 2] / self.ENOUGH or 1.0
 
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
@@ -399,6 +395,8 @@
                     self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
                     learns = self.fleet.old or self.fleet.may_probe and not sized
                     self.fleet.learning_us = self.desk.now if learns else None
+                    for i in self.fleet.playing() if learns and not self.fleet.old else ():
+                        self.desk.out.append(orders.Probe(self.fleet.ids[i]))
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
                 self.count_broken()
