--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -40,8 +40,7 @@
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.best_part = 0.0  # voided by the best third
         self.able = self.entering = self.last_us = self.alarm_us = 0
-        self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
-        self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
+        self.inherits_us: int | None = 0  # 0: nobody joined yet; since when all are on old tables; None: not
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
     def look(self) -> None:
@@ -75,7 +74,6 @@
     BAD_PROBES, GOOD_PROBES, MOST_PROBES = 2, 2, 32  # in a row, to shut a suspect and to let it back
     MOST_SHUT = 0.75  # of all hosts: two zones of three may be out of reach; fewer left would only drown
     ALARM_US = 3 * SECOND_US  # after streams broke together: one probe that does not get through is enough
-    A_PROBE = 0.2 * SECOND_US  # over a probe's time: as many tries as it is worth, a dozen as they are
     ENTRY, RISE = 0.25, 1.5  # the design's quarter for a host that comes back, then half as much again a turn
     FLOCK = 4.0  # takes a third off at a half voided, three quarters at nine tenths; with less hosts fell
     # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
@@ -146,7 +144,6 @@
         if probe.outcome is Outcome.ANSWERED:
             self.good_probes, self.bad_probes, self.fleet.cut[self.place] = self.good_probes + 1, 0, False
             self.fleet.add_report(self.place, probe.report)
-            self.fleet.speed[self.place] = self.A_PROBE / max(1, probe.took_us)
         elif probe.outcome is not Outcome.TURNED_AWAY:
             self.good_probes, self.bad_probes = 0, self.bad_probes + 1
             self.fleet.cut[self.place] = probe.outcome is Outcome.UNREACHED
@@ -208,7 +205,6 @@
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time, or weight, to its kind's while few tries are counted
     ENOUGH, WAIT_US, SETTLED = 8.0, 5 * SECOND_US, 6  # tries a host, and time, to take over; its turn by then
-    PROBED_US = SECOND_US // 4  # a probe that takes longer tells nothing of speed
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
         super().__init__(desk)
@@ -217,9 +213,9 @@
 
     def handle(self, note: Any) -> None:
         fleet, playing = self.fleet, self.fleet.playing()
-        if fleet.learning_us and playing:
+        if fleet.inherits_us and playing:
             self.take_over(playing)
-        fills = {} if fleet.learning_us or note is Beat.CHANGED else self.fills(playing)
+        fills = {} if fleet.inherits_us else self.fills(playing)
         if not fills:
             return
         mean_fill = sum(fills.values()) / len(fills)
@@ -247,18 +243,16 @@
             fleet.weight[i] *= scale
 
     def take_over(self, playing: list[int]) -> None:
-        """Guards against even weights: old tables show in the tries they bring, speed in first probes."""
-        fleet, old, prior = self.fleet, self.fleet.old, self.PRIOR_TRIES
-        shown = fleet.tries if old else fleet.speed
-        mean, waited = sum(shown[i] for i in playing) / len(playing), self.desk.now - fleet.learning_us
-        enough = mean >= self.ENOUGH if old else all(shown[i] for i in playing)
-        if enough or waited > (self.WAIT_US if old else self.PROBED_US):
-            fleet.learning_us, self.turns = None, self.SETTLED * old
+        """Guards against a restart that undoes what was learnt: old tables show in the tries they bring."""
+        fleet, prior = self.fleet, self.PRIOR_TRIES
+        mean = sum(fleet.tries[i] for i in playing) / len(playing)
+        if mean >= self.ENOUGH or self.desk.now - fleet.inherits_us > self.WAIT_US:
+            fleet.inherits_us, self.turns = None, self.SETTLED
             for kin in grouped(playing, lambda i: fleet.kind[i]):
-                kind = (sum(shown[i] for i in kin) + prior) / (mean * len(kin) + prior)
+                kind = (sum(fleet.tries[i] for i in kin) + prior) / (mean * len(kin) + prior)
                 for i in kin:
                     fleet.standing[i] = 0.0  # no slot holds the weight back
-                    fleet.weight[i] = kind * (shown[i] + prior) / (kind * mean + prior)
+                    fleet.weight[i] = kind * (fleet.tries[i] + prior) / (kind * mean + prior)
 
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
@@ -391,15 +385,13 @@
                 self.zone_of[note.proxy] = note.zone
                 self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
                 self.untold_us = self.untold_us or self.desk.now
-                if self.fleet.learning_us == 0:
-                    self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
-                    learns = self.fleet.old or self.fleet.may_probe and not sized
-                    self.fleet.learning_us = self.desk.now if learns else None
-                    for i in self.fleet.playing() if learns and not self.fleet.old else ():
-                        self.desk.out.append(orders.Probe(self.fleet.ids[i]))
+                if self.fleet.inherits_us == 0:
+                    self.fleet.inherits_us = None if note.fresh else self.desk.now
             case notes.ProxyLeft():
                 self.on_left(note.proxy)
                 self.count_broken()
+            case notes.Applied():
+                self.channel.answered(note.proxy, note.serial)
             case orders.SetLevel():
                 self.levels[note.table, note.products] = note
             case Beat():
@@ -523,7 +515,7 @@
         elif self.untold_us is not None and now - self.told_us >= self.most_gap_us:
             a_bind = self.channel.head + sum(1 + len(t.pushed) + 2 * len(t.products) for t in self.tables)
             in_time = (self.IN_TIME * self.spare_us - (now - self.untold_us)) * self.lines_a_us
-            if fleet.learning_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
+            if fleet.inherits_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
                 self.due.update(i for i in fleet.index.values() if fleet.state[i] is not HostState.READY)
                 self.untold_us = None
 
@@ -549,9 +541,9 @@
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
-        for change in () if self.bound or self.fleet.learning_us else list(self.changes()):
+        for change in () if self.bound or self.fleet.inherits_us else list(self.changes()):
             self.set_line(change, NO_CAP)  # nobody pays for them yet, and binds are to carry the newest
-        filled, out = any(t.pushed for t in self.tables) and not self.fleet.learning_us, self.withdrawn
+        filled, out = any(t.pushed for t in self.tables) and not self.fleet.inherits_us, self.withdrawn
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
@@ -563,6 +555,10 @@
                 products = tuple(table.products) if len(self.tables) > 1 else None
                 self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
 
+    def close(self) -> None:  # marks what this batch wrote: the answers tell when it has left the channel
+        if mark := self.channel.close():
+            self.desk.out.append(orders.Mark(mark))
+
 
 class Levels(Actor):
     """Declines early while answers are late, table by table; lets in no less than is settled just now."""
--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -13,7 +13,6 @@
 from plankroute.net.http import Answer, Limits, fetch
 from plankroute.net.wire import read_report
 
-PACE_S = 0.002  # between calls: of thirty at once each would be timed by the steward's own work for all
 MOST_BODY = 4096  # bytes: a report is one line
 
 
@@ -29,7 +28,6 @@
         self.limits = Limits(dial_us / 1e6, 2 * dial_us / 1e6, MOST_BODY)
         self.busy: dict[int, asyncio.Task[None]] = {}
         self.waiting = dict[int, None]()
-        self.paced: asyncio.TimerHandle | None = None  # until the next may begin
         self.may_probe = facts.may_probe
 
     def probe(self, host: int) -> None:
@@ -45,18 +43,12 @@
         self.waiting.clear()
 
     def start(self) -> None:
-        """One after another, as many as there is room for: streams come first."""
-        if self.paced or not self.waiting or len(self.busy) >= max(1, self.at_once()):
-            return
-        host = next(iter(self.waiting))
-        del self.waiting[host]
-        if host in self.directory.hosts:
-            self.busy[host] = asyncio.create_task(self.call(host))
-        self.paced = asyncio.get_running_loop().call_later(PACE_S, self.go_on)
-
-    def go_on(self) -> None:
-        self.paced = None
-        self.start()
+        """As many as there is room for: streams come first."""
+        while self.waiting and len(self.busy) < max(1, self.at_once()):
+            host = next(iter(self.waiting))
+            del self.waiting[host]
+            if host in self.directory.hosts:
+                self.busy[host] = asyncio.create_task(self.call(host))
 
     async def call(self, host: int) -> None:
         asked_us, uid = self.clock.now(), self.directory.uid(host)
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -29,12 +29,9 @@
             beats.add(self.route(note))
             desk.run()
         if beats - {None}:
-            if Beat.TURN not in beats:
-                desk.put(self.balancer, Beat.CHANGED)
             desk.put(self.publisher, Beat.TURN if Beat.TURN in beats else Beat.CHANGED)
             desk.run()
-        if mark := self.publisher.channel.close():
-            desk.out.append(orders.Mark(mark))  # the answers tell when this batch has left the channel
+        self.publisher.close()
         out, desk.out = desk.out, []
         return out
 
@@ -51,9 +48,7 @@
                     self.desk.put(self.levels, note)
             case notes.ProxyTraffic():
                 self.desk.put(self.levels, note)
-            case notes.Applied():
-                self.publisher.channel.answered(note.proxy, note.serial)
-            case notes.ProxyJoined() | notes.ProxyLeft():
+            case notes.ProxyJoined() | notes.ProxyLeft() | notes.Applied():
                 self.desk.put(self.publisher, note)
         return Beat.CHANGED if isinstance(note, notes.ProxyJoined) else None
 
