--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -339,6 +339,7 @@
     ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
     BIND_PART = 0.45  # binds leave room for slots: those who come later find the table right
     WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a tenth or so, for the time that a slot stands
+    URGE = 6.0  # times the mean time over the SLA time: in a calm fleet small moves gain next to nothing
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
@@ -445,6 +446,7 @@
 
     def changes(self) -> Iterator[Change]:  # worth more where a slot is to fall: txns there are late already
         fleet, products = self.fleet, sum(len(table.products) for table in self.tables)
+        urge = max(1.0, (self.URGE * fleet.time_part / fleet.sla_us) ** 2)
         for table in self.tables:
             slots = table.slots(fleet, self.withdrawn | self.due)
             part = len(table.products) / products / max(1, sum(slots.values()))
@@ -456,7 +458,7 @@
                 if count != before and i not in self.due:
                     fallen = fleet.cap[i] < NO_CAP and count < self.FALLEN * before
                     strain = max(1.0, before / max(1, count)) if before else self.NEW
-                    worth = abs(count - before) * part * strain
+                    worth = urge * (count - before) ** 2 / max(count, before) * part * strain
                     urgent = bare or fallen or not count
                     if i in self.withdrawn:  # nobody sends there: last, sooner if it is back or long gone
                         back, late = fleet.state[i] is HostState.READY, self.desk.now - fleet.heard_us[i]
