--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -57,9 +57,8 @@
         warm = [i for i in ready if self.cap[i] == NO_CAP]
         self.able, self.entering = len(warm), len(ready) - len(warm)
         self.most = max(self.most, self.able)
-        self.kin = {}
-        for kin in grouped(warm, lambda i: self.kind[i]):
-            self.kin[self.kind[kin[0]]] = sum(self.weight[i] for i in kin) / len(kin)
+        self.kin = {self.kind[kin[0]]: sum(self.weight[i] for i in kin) / len(kin)
+                    for kin in grouped(warm, lambda i: self.kind[i])}
 
     def kin_mean(self, place: int) -> float:  # of a kind not known warm the least: it may be small
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
@@ -283,14 +282,13 @@
         return tries / sum(fleet.counted(i) for i in hosts)
 
     def times(self, playing: list[int]) -> dict[int, float]:  # shrunk to their kind's; none for kinds unheard
-        fleet, times = self.fleet, dict[int, float]()
+        fleet, few, times = self.fleet, self.PRIOR_TRIES, dict[int, float]()
         for kin in grouped(playing, lambda i: fleet.kind[i]):
             tries = sum(fleet.tries[i] for i in kin)
             if tries > 0.5:
                 prior = sum(fleet.time_us[i] for i in kin) / tries
                 for i in kin:
-                    times[i] = ((fleet.time_us[i] + prior * self.PRIOR_TRIES)
-                                / (fleet.tries[i] + self.PRIOR_TRIES))
+                    times[i] = (fleet.time_us[i] + prior * few) / (fleet.tries[i] + few)
         return times
 
 
@@ -339,7 +337,7 @@
     ORDINARY_PART, GRACE_PART = 0.5, 0.4  # of the limit, of the grace may be queued: the rest is for drains
     BIND_PART = 0.45  # binds leave room for slots: those who come later find the table right
     WORTH_US = 3 * SECOND_US // 2  # a moved txn gains a tenth or so, for the time that a slot stands
-    URGE = 6.0  # times the mean time over the SLA time: in a calm fleet small moves gain next to nothing
+    URGE = 6.0  # of the SLA time; guards against a channel busy all day with the small moves of a calm fleet
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
@@ -446,7 +444,7 @@
 
     def changes(self) -> Iterator[Change]:  # worth more where a slot is to fall: txns there are late already
         fleet, products = self.fleet, sum(len(table.products) for table in self.tables)
-        urge = max(1.0, (self.URGE * fleet.time_part / fleet.sla_us) ** 2)
+        urge = max(1.0, (self.URGE * fleet.time_part / fleet.sla_us) ** 3)
         for table in self.tables:
             slots = table.slots(fleet, self.withdrawn | self.due)
             part = len(table.products) / products / max(1, sum(slots.values()))
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -466,6 +466,19 @@
     assert bench.lines[0][100] < before / 2
 
 
+def test_small_moves_wait_in_a_calm_fleet_and_go_where_answers_are_late():
+    """Guards against a channel that is busy all day with moves that gain next to nothing."""
+    for time_ms, written in ((100.0, False), (500.0, True)):
+        bench, _ = large_bench(7, order=0.02)
+        bench.pass_time(8 * SECOND)
+        feed(bench, 6, time_ms=lambda _: time_ms)
+        bench.log.clear()
+        weights = bench.steward.fleet.weight
+        weights[:] = [weight * (1.1 if i % 2 else 0.9) for i, weight in enumerate(weights)]
+        bench.pass_time(SECOND)
+        assert any(isinstance(o, orders.SetLine) for o in bench.log) is written
+
+
 def test_the_model_objects_to_a_steward_that_forgets_drains(monkeypatch):
     monkeypatch.setattr(Publisher, "tell_gone", lambda self, host, room: 0)
     bench = ready_bench()
