--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -116,6 +116,7 @@
             await scene(stage)
             os.kill(os.getpid(), signal.SIGTERM)
             await running
+            service.book.log.finish(5.0)  # its lines are passed on by a thread: the test may read them now
             return stage
 
     return asyncio.run(run())
