First weights follow probes at the first joining, by kind, within bounds by host

Now they go out when the first proxy joins on its standing table, one after another; the way there and back is left out (http); a host's own time counts by its root and 0.7 to 1.4 of its kind's median (take_over). Where the list tells sizes, or old tables are held, all is as before.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -20,7 +20,7 @@
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import LevelUnit, ReportWay, StartFacts
 from plankroute.interface.notes import HostState, Outcome
-from plankroute.tables import Change, Pushed, even_cap
+from plankroute.tables import Change, Pushed, Roll, even_cap
 
 SECOND_US = 1_000_000
 ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
@@ -40,7 +40,8 @@
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.best_part = 0.0  # voided by the best third
         self.able = self.entering = self.last_us = self.alarm_us = 0
-        self.inherits_us: int | None = 0  # 0: nobody joined yet; since when all are on old tables; None: not
+        self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
+        self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
 
     def look(self) -> None:
@@ -143,6 +144,7 @@
         if probe.outcome is Outcome.ANSWERED:
             self.good_probes, self.bad_probes, self.fleet.cut[self.place] = self.good_probes + 1, 0, False
             self.fleet.add_report(self.place, probe.report)
+            self.fleet.speed[self.place] = SECOND_US / max(1, probe.took_us)
         elif probe.outcome is not Outcome.TURNED_AWAY:
             self.good_probes, self.bad_probes = 0, self.bad_probes + 1
             self.fleet.cut[self.place] = probe.outcome is Outcome.UNREACHED
@@ -203,6 +205,8 @@
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
     PRIOR_TRIES = 3.0  # shrinks a host's mean time, or weight, to its kind's while few tries are counted
+    PROBED_US = SECOND_US // 4  # a probe that takes longer tells nothing of speed
+    OWN_LEAST, OWN_MOST = 0.7, 1.4  # of its kind's: single probes are off by twice, some answer at once
     ENOUGH, WAIT_US, SETTLED = 8.0, 5 * SECOND_US, 6  # tries a host, and time, to take over; its turn by then
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
@@ -212,9 +216,9 @@
 
     def handle(self, note: Any) -> None:
         fleet, playing = self.fleet, self.fleet.playing()
-        if fleet.inherits_us and playing:
+        if fleet.learning_us and playing:
             self.take_over(playing)
-        fills = {} if fleet.inherits_us else self.fills(playing)
+        fills = {} if fleet.learning_us or note is Beat.CHANGED else self.fills(playing)
         if not fills:
             return
         mean_fill = sum(fills.values()) / len(fills)
@@ -242,16 +246,20 @@
             fleet.weight[i] *= scale
 
     def take_over(self, playing: list[int]) -> None:
-        """Guards against a restart that undoes what was learnt: old tables show in the tries they bring."""
-        fleet, prior = self.fleet, self.PRIOR_TRIES
-        mean = sum(fleet.tries[i] for i in playing) / len(playing)
-        if mean >= self.ENOUGH or self.desk.now - fleet.inherits_us > self.WAIT_US:
-            fleet.inherits_us, self.turns = None, self.SETTLED
+        """Guards against even weights: old tables show in the tries they bring, speed in the first probes."""
+        fleet, waited = self.fleet, self.desk.now - self.fleet.learning_us
+        shown, wait_us = (fleet.tries, self.WAIT_US) if fleet.old else (fleet.speed, self.PROBED_US)
+        mean = sum(shown[i] for i in playing) / len(playing) or 1.0
+        if waited > wait_us or (mean >= self.ENOUGH if fleet.old else all(shown[i] for i in playing)):
+            fleet.learning_us, self.turns = None, self.SETTLED * fleet.old
             for kin in grouped(playing, lambda i: fleet.kind[i]):
-                kind = (sum(fleet.tries[i] for i in kin) + prior) / (mean * len(kin) + prior)
+                usual = sorted(shown[i] for i in kin)[len(kin) // 2] or mean
+                kind = (sum(shown[i] for i in kin) + self.PRIOR_TRIES) / (mean * len(kin) + self.PRIOR_TRIES)
                 for i in kin:
                     fleet.standing[i] = 0.0  # no slot holds the weight back
-                    fleet.weight[i] = kind * (fleet.tries[i] + prior) / (kind * mean + prior)
+                    own = max(self.OWN_LEAST, min(self.OWN_MOST, (shown[i] / usual) ** 0.5)) * usual / mean
+                    by_tries = kind * (shown[i] + self.PRIOR_TRIES) / (kind * mean + self.PRIOR_TRIES)
+                    fleet.weight[i] = by_tries if fleet.old else own
 
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
@@ -330,7 +338,7 @@
     return list(tables.values())
 
 
-class Publisher(Actor):
+class Publisher(Roll):
     """Keeps the tables, puts proxies on them, and writes to the channel no more than it can take."""
 
     PULSE_US = SECOND_US // 10  # well within any grace, and shorter than a message's way
@@ -348,7 +356,8 @@
     RETRY = orders.Retry.UNRUN
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
-        super().__init__(desk)
+        # The store keeps the tables of slices.
+        super().__init__(desk, [] if facts.slices else tables_for(facts))
         self.fleet, self.limit, self.lines_a_us = fleet, facts.queue_cap, facts.lines_per_s / SECOND_US
         self.channel = Channel(facts.head_lines, self.lines_a_us)
         self.spare_us = max(0, facts.grace_us - facts.way_most_us)
@@ -361,9 +370,6 @@
         most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = -facts.messages_window_us
-        self.tables = [] if facts.slices else tables_for(facts)  # the store keeps the tables of slices
-        self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
-        self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
         self.broken: list[int] = []  # when streams ended, in the last second
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
@@ -380,14 +386,17 @@
                 elif i not in self.withdrawn and self.gone_lines(i):
                     self.due.add(i)
             case notes.ProxyJoined():
-                self.on_left(note.proxy)
-                self.zone_of[note.proxy] = note.zone
-                self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
+                self.leave(note.proxy)
+                self.join(note)
                 self.untold_us = self.untold_us or self.desk.now
-                if self.fleet.inherits_us == 0:
-                    self.fleet.inherits_us = None if note.fresh else self.desk.now
+                if self.fleet.learning_us == 0:
+                    self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
+                    learns = self.fleet.old or self.fleet.may_probe and not sized
+                    self.fleet.learning_us = self.desk.now if learns else None
+                    for i in self.fleet.playing() if learns and note.fresh else ():
+                        self.desk.out.append(orders.Probe(self.fleet.ids[i]))
             case notes.ProxyLeft():
-                self.on_left(note.proxy)
+                self.leave(note.proxy)
                 self.count_broken()
             case notes.Applied():
                 self.channel.answered(note.proxy, note.serial)
@@ -400,11 +409,9 @@
                 self.write(note is Beat.TURN)
                 self.bind_waiting()
 
-    def on_left(self, proxy: int) -> None:
-        self.bound.discard(proxy)
+    def leave(self, proxy: int) -> None:
+        super().leave(proxy)
         self.channel.left(proxy)
-        self.zone_of.pop(proxy, None)
-        self.unbound.pop(proxy, None)
 
     def count_broken(self) -> None:  # together they may tell of a cut, seconds before sums: all are asked
         fleet, now = self.fleet, self.desk.now
@@ -486,14 +493,6 @@
         self.order(orders.SetLine(table.number, host, float(change.count)), users)
         return len(users)
 
-    def naming(self, host: int) -> list[Table]:
-        return [table for table in self.tables if host in table.pushed]
-
-    def gone_lines(self, host: int) -> int:
-        if len(tables := self.naming(host)) > 1:
-            return len(self.zone_of)
-        return len(self.unbound) + sum(len(self.users(table)) for table in tables)
-
     def tell_gone(self, host: int, room: float) -> int:
         """Its line goes; proxies on other tables, and all where several name it, are told: a line a proxy."""
         tables, lines = self.naming(host), self.gone_lines(host)
@@ -515,7 +514,7 @@
         elif self.untold_us is not None and now - self.told_us >= self.most_gap_us:
             a_bind = self.channel.head + sum(1 + len(t.pushed) + 2 * len(t.products) for t in self.tables)
             in_time = (self.IN_TIME * self.spare_us - (now - self.untold_us)) * self.lines_a_us
-            if fleet.inherits_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
+            if fleet.learning_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
                 self.due.update(i for i in fleet.index.values() if fleet.state[i] is not HostState.READY)
                 self.untold_us = None
 
@@ -532,18 +531,15 @@
                 self.withdrawn.discard(i)
                 self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
 
-    def users(self, table: Table) -> list[int]:
-        return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
-
     def room(self, most_queued: float) -> float:  # for what can wait: a drain's message must always fit
         most = max(self.bind_allowance, self.limit - len(self.zone_of) * (self.channel.head + 1))
         return min(most_queued - self.channel.queued, most - self.channel.waiting)
 
     def bind_waiting(self) -> None:
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
-        for change in () if self.bound or self.fleet.inherits_us else list(self.changes()):
+        for change in () if self.bound or self.fleet.learning_us else list(self.changes()):
             self.set_line(change, NO_CAP)  # nobody pays for them yet, and binds are to carry the newest
-        filled, out = any(t.pushed for t in self.tables) and not self.fleet.inherits_us, self.withdrawn
+        filled, out = any(t.pushed for t in self.tables) and not self.fleet.learning_us, self.withdrawn
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -31,6 +31,7 @@
         # Beside the controller
         self.cap: list[float] = []  # the most that an entering host's weight counts for
         self.shut: list[bool] = []
+        self.speed: list[float] = []  # probes a second, by the last one that was answered
         self.cut: list[bool] = []  # the last probe did not get through
         self.proxies = 0  # joined
         self.least_move = 0.0  # the smallest move of a usual slot, as a part of it, that is worth its line
@@ -51,7 +52,8 @@
         for array, value in (
                 (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
                 (self.kind, entry.kind), (self.listed, weight), (self.weight, weight), (self.cap, NO_CAP),
-                (self.shut, False), (self.cut, False), (self.error, None), (self.integral, 0.0),
+                (self.shut, False), (self.cut, False), (self.speed, 0.0), (self.error, None),
+                (self.integral, 0.0),
                 (self.news, False), (self.standing, 0.0),
                 (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
                 (self.held, 0.0), (self.heard_us, 0)):
--- a/plankroute/net/http.py
+++ b/plankroute/net/http.py
@@ -4,6 +4,7 @@
 from collections.abc import AsyncGenerator
 from contextlib import aclosing
 from dataclasses import dataclass
+from time import monotonic
 
 import h11
 
@@ -17,6 +18,7 @@
 class Answer:
     status: int
     body: bytes
+    served_us: int  # from asking to the end, less a way there and back, as long as the connection took
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +36,7 @@
     def __init__(self, address: str, target: str, limits: Limits) -> None:
         self.address, self.target, self.limits = address, target, limits
         self.reached, self.status = Reached.NOTHING, 0
+        self.asked = self.dialled = 0.0  # when it asked, and how long the connection took to come up
         self.machine = h11.Connection(h11.CLIENT)
         self.writer: asyncio.StreamWriter | None = None
 
@@ -44,13 +47,15 @@
     async def pieces(self) -> AsyncGenerator[bytes, None]:
         """The body as it comes; raises OSError, TimeoutError or h11.ProtocolError."""
         host, port = host_and_port(self.address)
+        begun = monotonic()
         async with asyncio.timeout(self.limits.dial_s):
             reader, self.writer = await asyncio.open_connection(host, port, limit=READ_AT_ONCE)
         self.reached = Reached.CONNECTED
         head = h11.Request(method="GET", target=self.target,
                            headers=[("Host", self.address), ("Connection", "close")])
         self.writer.write((self.machine.send(head) or b"") + (self.machine.send(h11.EndOfMessage()) or b""))
-        self.reached = Reached.ASKED
+        self.reached, self.asked = Reached.ASKED, monotonic()
+        self.dialled = self.asked - begun
         while True:
             event = self.machine.next_event()
             if event is h11.NEED_DATA:
@@ -84,4 +89,5 @@
         return call.failed(error)
     finally:
         call.close()
-    return Answer(call.status, bytes(body))
+    served_s = max(0.0, monotonic() - call.asked - call.dialled)
+    return Answer(call.status, bytes(body), int(served_s * 1e6))
--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -13,6 +13,7 @@
 from plankroute.net.http import Answer, Limits, fetch
 from plankroute.net.wire import read_report
 
+PACE_S = 0.002  # between calls: of thirty at once each would be timed by the steward's own work for all
 MOST_BODY = 4096  # bytes: a report is one line
 
 
@@ -28,6 +29,7 @@
         self.limits = Limits(dial_us / 1e6, 2 * dial_us / 1e6, MOST_BODY)
         self.busy: dict[int, asyncio.Task[None]] = {}
         self.waiting = dict[int, None]()
+        self.paced: asyncio.TimerHandle | None = None  # until the next may begin
         self.may_probe = facts.may_probe
 
     def probe(self, host: int) -> None:
@@ -43,12 +45,18 @@
         self.waiting.clear()
 
     def start(self) -> None:
-        """As many as there is room for: streams come first."""
-        while self.waiting and len(self.busy) < max(1, self.at_once()):
-            host = next(iter(self.waiting))
-            del self.waiting[host]
-            if host in self.directory.hosts:
-                self.busy[host] = asyncio.create_task(self.call(host))
+        """One after another, as many as there is room for: streams come first."""
+        if self.paced or not self.waiting or len(self.busy) >= max(1, self.at_once()):
+            return
+        host = next(iter(self.waiting))
+        del self.waiting[host]
+        if host in self.directory.hosts:
+            self.busy[host] = asyncio.create_task(self.call(host))
+        self.paced = asyncio.get_running_loop().call_later(PACE_S, self.go_on)
+
+    def go_on(self) -> None:
+        self.paced = None
+        self.start()
 
     async def call(self, host: int) -> None:
         asked_us, uid = self.clock.now(), self.directory.uid(host)
@@ -68,7 +76,9 @@
         if outcome is not Outcome.ANSWERED:
             self.book.log.event("info", "probe_bad", host=uid, outcome=outcome.value,
                                 how=str(answer))
-        self.put(notes.ProbeResult(host, outcome, self.clock.now() - asked_us, report))
+        # Guards against far hosts taken for slow ones.
+        took_us = answer.served_us if isinstance(answer, Answer) else self.clock.now() - asked_us
+        self.put(notes.ProbeResult(host, outcome, took_us, report))
 
 
 def judge_call(answer: Answer | CallFailed) -> tuple[Outcome, LoadReport | None]:
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -29,6 +29,8 @@
             beats.add(self.route(note))
             desk.run()
         if beats - {None}:
+            if Beat.TURN not in beats:
+                desk.put(self.balancer, Beat.CHANGED)
             desk.put(self.publisher, Beat.TURN if Beat.TURN in beats else Beat.CHANGED)
             desk.run()
         self.publisher.close()
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -1,9 +1,11 @@
-"""Tables as they were last pushed, and slots that differ from them; storage only, nothing here decides."""
+"""Tables as they were last pushed, and who is on them; storage only, nothing here decides."""
 
 from dataclasses import dataclass, field
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+from plankroute.actors import Actor, Desk
 from plankroute.figures import Figures
+from plankroute.interface import notes
 
 
 @dataclass(eq=False, slots=True)
@@ -40,6 +42,37 @@
     count: int
 
 
+class Roll(Actor):
+    """Joined proxies, those on the tables and those that wait to be bound, and the tables."""
+
+    def __init__(self, desk: Desk, tables: list[Any]) -> None:
+        super().__init__(desk)
+        self.tables = tables
+        self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
+        self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
+
+    def join(self, note: notes.ProxyJoined) -> None:
+        self.zone_of[note.proxy] = note.zone
+        self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
+
+    def leave(self, proxy: int) -> None:
+        self.bound.discard(proxy)
+        self.zone_of.pop(proxy, None)
+        self.unbound.pop(proxy, None)
+
+    def users(self, table: Pushed) -> list[int]:
+        return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
+
+    def naming(self, host: int) -> list[Any]:
+        return [table for table in self.tables if host in table.pushed]
+
+    def gone_lines(self, host: int) -> int:
+        """Lines that tell who is on a table that names the host, or may be on one."""
+        if len(tables := self.naming(host)) > 1:
+            return len(self.zone_of)
+        return len(self.unbound) + sum(len(self.users(table)) for table in tables)
+
+
 def even_cap(rates: list[float], total: float) -> float | None:
     """The cap at which rates, each cut down to it, add up to the total; None where they do without."""
     for place, rate in enumerate(sorted(rates)):
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -16,7 +16,9 @@
 def ready_bench(hosts: int = 6, proxies: int = 4, **facts) -> Bench:
     bench = Bench(start_facts(**facts))
     bench.give(full(*[entry(100 + i, zone=i % 3, kind=i % 2) for i in range(hosts)]))
-    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(proxies)])
+    asked = probes(bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(proxies)]))
+    bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, 10_000, None) for host in asked])
+    bench.pass_time(SECOND // 10)
     return bench
 
 
@@ -273,6 +275,31 @@
     assert fresh.bound  # nobody has learnt anything yet: at once
 
 
+@pytest.mark.parametrize("weight, may_probe", [(0.0, True), (0.0, False), (2.0, True)])
+def test_first_probes_tell_the_speed_of_hosts_whose_sizes_the_list_keeps_silent(weight, may_probe):
+    """Guards against even weights until the first sums come, seconds after the first txns."""
+    bench = Bench(start_facts(may_probe=may_probe))
+    bench.give(full(*[entry(100 + i, kind=i % 2, weight=weight * (1 + i)) for i in range(6)]))
+    asked = probes(bench.give(notes.ProxyJoined(0, 0, 10.0, True)))
+    assert asked == (bench.hosts.keys() if may_probe and not weight else set())
+    took = {host: 10_000 + host % 2 * 15_000 for host in asked} | {100: 1}  # one seems to answer at once
+    bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, took[host], None) for host in asked])
+    bench.pass_time(SECOND // 10)
+    lines = bench.lines[0]
+    assert bench.bound and (lines[102] > 1.5 * lines[101]) is bool(asked) and lines[100] < 2 * lines[102]
+
+
+def test_a_first_probe_that_stays_away_does_not_hold_up_binds():
+    bench = Bench(start_facts())
+    bench.give(full(*[entry(100 + i) for i in range(6)]))
+    asked = probes(bench.give(notes.ProxyJoined(0, 0, 10.0, True)))
+    bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, 10_000, None) for host in asked - {100}])
+    bench.pass_time(SECOND // 10)
+    assert not bench.bound
+    bench.pass_time(SECOND // 4)
+    assert bench.bound and 0 < bench.lines[0][100] < bench.lines[0][101]
+
+
 def test_a_steward_that_hears_too_little_to_take_over_does_not_wait_for_good():
     bench = Bench(start_facts())
     bench.give(full(entry(100), entry(101)), notes.ProxyJoined(0, 0, 1.0, False))
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -3,24 +3,25 @@
 import asyncio
 import random
 import threading
+from unittest.mock import ANY
 
 import pytest
 
 from model import DRAINING, GONE, READY, SECOND, entry, full, start_facts
 from plankroute.interface import notes, orders
-from plankroute.interface.notes import ListKind, LoadReport, Outcome
+from plankroute.interface.notes import HostState, ListKind, LoadReport, Outcome
 from plankroute.messages import Player
-from plankroute.net import wire
+from plankroute.net import http, wire
 from plankroute.net.admit import Admission, Party, Role
 from plankroute.net.book import Book, Log
 from plankroute.net.boot import read_boot
-from plankroute.net.catalogue import Unread, list_from, read_list
+from plankroute.net.catalogue import EntrySaid, ListSaid, Unread, list_from, read_list
 from plankroute.net.clock import Alarms, Clock
 from plankroute.net.directory import Directory
 from plankroute.net.errors import CallFailed, Reached, Refused
 from plankroute.net.http import Answer, Limits, fetch
 from plankroute.net.intake import LineCutter
-from plankroute.net.probes import judge_call
+from plankroute.net.probes import Prober, judge_call
 from plankroute.net.ring import Pool, Ring
 from plankroute.net.room import FILES, room_for
 from plankroute.net.route import Router
@@ -277,7 +278,7 @@
 
 
 @pytest.mark.parametrize("answer, outcome", [
-    (Answer(200, b""), Outcome.ANSWERED), (Answer(503, b""), Outcome.ERROR),
+    (Answer(200, b"", 0), Outcome.ANSWERED), (Answer(503, b"", 0), Outcome.ERROR),
     (CallFailed(Reached.NOTHING, "", timed_out=True), Outcome.UNREACHED),
     (CallFailed(Reached.NOTHING, "refused"), Outcome.UNREACHED),
     (CallFailed(Reached.ASKED, "reset"), Outcome.ERROR),
@@ -313,9 +314,9 @@
 
 def test_a_call_says_how_far_it_came():
     ok = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nTEXT"
-    assert call(ok) == Answer(200, b"TEXT")
+    assert call(ok) == Answer(200, b"TEXT", ANY)
     chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nTE\r\n2\r\nXT\r\n0\r\n\r\n"
-    assert call(chunked) == Answer(200, b"TEXT")
+    assert call(chunked) == Answer(200, b"TEXT", ANY)
     for data, reached in ((b"", Reached.ASKED), (b"junk\r\n\r\n", Reached.ASKED), (ok[:-2], Reached.BODY),
                           (ok.replace(b"4", b"400") + b"x" * 400, Reached.BODY)):
         failed = call(data)
@@ -324,6 +325,31 @@
     assert isinstance(silent, CallFailed) and silent.timed_out
 
 
+def test_a_far_host_is_no_slow_one(monkeypatch):
+    """The way there and back is as long as the connection took to come up: 3 s of the 10 since asking."""
+    monkeypatch.setattr(http, "monotonic", iter([0.0, 3.0, 13.0]).__next__)
+    answer = call(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert isinstance(answer, Answer) and answer.served_us == 7_000_000
+
+
+def test_probes_begin_one_after_another():
+    """Guards against times that are the steward's own work for all of them at once."""
+    async def run() -> None:
+        book = Book(Log("n", lambda line: None))
+        directory = Directory(Clock(), ("a",), ("m",), ("p",))
+        directory.note(ListSaid(1, True, tuple(
+            EntrySaid(f"s-{n}", "127.0.0.1:9", "a", "m", 0, HostState.READY, 1.0, 0.0) for n in range(3))))
+        prober = Prober(start_facts(), directory, Clock(), book, 1000, lambda: 9, lambda note: None)
+        for host in range(3):
+            prober.probe(host)
+        assert len(prober.busy) == 1 and len(prober.waiting) == 2
+        while prober.waiting or prober.busy:
+            await asyncio.sleep(0)
+        assert book.counts["sent.probes"] == 3
+
+    asyncio.run(run())
+
+
 def test_a_note_that_fails_takes_no_timer_along():
     async def run() -> None:
         book, player = Book(Log("n", lambda line: None)), Player(1)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -52,7 +52,10 @@
         self.watches: asyncio.Queue[asyncio.StreamWriter] = asyncio.Queue()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        head = await reader.readuntil(b"\r\n\r\n")
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except asyncio.CancelledError:
+            return  # the test's end, which the loop would else report as an error of the steward's
         writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.asked.put_nowait(head.split()[1].decode())
         self.watches.put_nowait(writer)
