Turns keep a tenth of a second behind the sums that come together

Seen (simulated servers): one steward's sums come 0.2 s before its turn, the other's 0.7 s; each waits for a turn of its own phase. pause_us moves the next turn behind the last burst of sums.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -20,7 +20,7 @@
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import LevelUnit, ReportWay, StartFacts
 from plankroute.interface.notes import HostState, Outcome
-from plankroute.tables import Change, Pushed, Roll, even_cap
+from plankroute.tables import Change, Pushed, Roll, even_cap, in_whole
 
 SECOND_US = 1_000_000
 ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
@@ -39,7 +39,7 @@
         self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.best_part = 0.0  # voided by the best third
-        self.able = self.entering = self.last_us = self.alarm_us = 0
+        self.able = self.entering = self.last_us = self.alarm_us = self.sums_us = self.burst_us = 0
         self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
         self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
@@ -61,6 +61,11 @@
         self.kin = {self.kind[kin[0]]: sum(self.weight[i] for i in kin) / len(kin)
                     for kin in grouped(warm, lambda i: self.kind[i])}
 
+    def hear(self, now: int) -> None:  # sums that come together, seconds apart from others, set the turns
+        if now - self.sums_us > SECOND_US // 4:
+            self.burst_us = now
+        self.sums_us = now
+
     def kin_mean(self, place: int) -> float:  # of a kind not known warm the least: it may be small
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
@@ -83,7 +88,7 @@
     def __init__(self, desk: Desk, fleet: Fleet, place: int) -> None:
         super().__init__(desk)
         self.fleet, self.place, self.started_us, self.share = fleet, place, 0, 1.0
-        self.faded_us = self.shut_us = fleet.heard_us[place] = desk.now
+        self.shut_us = fleet.faded_us[place] = fleet.heard_us[place] = desk.now
         self.good_probes, self.bad_probes, self.needed = 0, 0, self.GOOD_PROBES
         self.work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
                      notes.ProbeResult: self.on_probe, Beat: self.on_turn}
@@ -125,14 +130,11 @@
         bears = max(0.01, share * (1 - voided) / (1 + self.FLOCK * voided**3))
         fleet.cap[i] = 0.0 if cold and drowning else bears * fleet.kin_mean(i)
 
-    def fade(self) -> None:
-        now, before, self.faded_us = self.desk.now, self.faded_us, self.desk.now
-        self.fleet.fade(self.place, 0.5 ** ((now - before) / MEMORY_US))
-
     def on_sums(self, sums: notes.HostSums) -> None:
         """Guards against hosts that void txns fast and so look empty: each counts as late."""
         fleet, i, voided = self.fleet, self.place, min(sums.voided, sums.tries)
-        self.fade()
+        fleet.hear(self.desk.now)
+        fleet.age(i, self.desk.now, MEMORY_US)
         fleet.heard_us[i], fleet.news[i] = self.desk.now, True
         good = sums.tries - voided if 0 < sums.mean_us < NO_CAP else 0
         fleet.tries[i] += good + voided
@@ -163,7 +165,7 @@
         fleet, i = self.fleet, self.place
         if fleet.state[i] is not HostState.READY:
             return
-        self.fade()
+        fleet.age(i, self.desk.now, MEMORY_US)
         ask = fleet.probe_always or fleet.shut[i] or self.suspect(fleet.best_part)
         if fleet.shut[i]:
             self.consider_return()
@@ -214,6 +216,12 @@
         self.fleet, self.tables, self.turns = fleet, tables, 0
         self.first_us = int(self.TURN_US * (0.5 + desk.chance() / 2))  # stewards should not turn in step
 
+    def pause_us(self) -> int:
+        """Guards against news that wait up to a turn: turns keep a tenth of a second behind sums."""
+        late = (self.desk.now - self.fleet.burst_us - self.TURN_US // 10) % self.TURN_US
+        late = late - self.TURN_US if late > self.TURN_US // 2 else late
+        return self.TURN_US - late * (self.fleet.burst_us > 0)
+
     def handle(self, note: Any) -> None:
         fleet, playing = self.fleet, self.fleet.playing()
         if fleet.learning_us and playing:
@@ -241,9 +249,7 @@
                 lead = max(self.DEAR_LEAD if fleet.dear else self.LEAD, self.PAYS * fleet.least_move)
                 weight = min(max(weight, held / (1 + eager * lead)), held * (1 + eager * lead))
             fleet.weight[i] = weight
-        scale = len(playing) / sum(fleet.weight[i] for i in playing)
-        for i in playing:
-            fleet.weight[i] *= scale
+        fleet.rescale(playing)
 
     def take_over(self, playing: list[int]) -> None:
         """Guards against even weights: old tables show in the tries they bring, speed in the first probes."""
@@ -321,11 +327,7 @@
         exact = {i: weight * scale for i, weight in weights.items()}
         for i in self.pushed.keys() & exact.keys():
             fleet.standing[i] = self.pushed[i] / scale
-        slots = {i: int(value) for i, value in exact.items()}
-        missing = round(sum(exact.values())) - sum(slots.values())
-        for i in sorted(slots, key=lambda i: (slots[i] - exact[i], i))[:missing]:
-            slots[i] += 1
-        return {i: max(1, count) for i, count in slots.items()}
+        return {i: max(1, count) for i, count in in_whole(exact).items()}
 
 
 def tables_for(facts: StartFacts) -> list[Table]:  # one; others for products that may not use every host
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -43,6 +43,7 @@
         self.time_us: list[float] = []
         self.reports: list[float] = []
         self.held: list[float] = []
+        self.faded_us: list[int] = []  # the clock when the sums were last faded
         self.heard_us: list[int] = []  # the clock at the last word
 
     def add(self, entry: HostEntry) -> int:
@@ -56,7 +57,7 @@
                 (self.integral, 0.0),
                 (self.news, False), (self.standing, 0.0),
                 (self.tries, 0.0), (self.voided, 0.0), (self.time_us, 0.0), (self.reports, 0.0),
-                (self.held, 0.0), (self.heard_us, 0)):
+                (self.held, 0.0), (self.faded_us, 0), (self.heard_us, 0)):
             array[place:place + 1] = [value]
         return place
 
@@ -81,6 +82,16 @@
             self.reports[place] += 1
             self.held[place] += report.inflight
 
+    def rescale(self, places: list[int]) -> None:
+        """Their weights to a mean of 1."""
+        scale = len(places) / sum(self.weight[i] for i in places)
+        for i in places:
+            self.weight[i] *= scale
+
+    def age(self, place: int, now: int, half_life_us: int) -> None:
+        self.fade(place, 0.5 ** ((now - self.faded_us[place]) / half_life_us))
+        self.faded_us[place] = now
+
     def fade(self, place: int, keep: float) -> None:
         for sums in (self.tries, self.voided, self.time_us, self.reports, self.held):
             sums[place] *= keep
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -90,7 +90,7 @@
             self.desk.out.append(orders.SetTimer(Publisher.PULSE_US, self.PULSE))
             return Beat.CHANGED
         elif token == self.TURN:
-            self.desk.out.append(orders.SetTimer(Balancer.TURN_US, self.TURN))
+            self.desk.out.append(orders.SetTimer(self.balancer.pause_us(), self.TURN))
             self.fleet.look()
             for part in (*self.hosts, self.balancer, self.levels):
                 self.desk.put(part, Beat.TURN)
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -80,3 +80,12 @@
             return even
         total -= rate
     return None
+
+
+def in_whole(exact: dict[int, float]) -> dict[int, int]:
+    """Floors, and the ones that are then missing to the largest remainders."""
+    counts = {i: int(value) for i, value in exact.items()}
+    missing = round(sum(exact.values())) - sum(counts.values())
+    for i in sorted(counts, key=lambda i: (counts[i] - exact[i], i))[:missing]:
+        counts[i] += 1
+    return counts
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -64,6 +64,7 @@
 def test_a_blind_steward_keeps_its_weights():
     bench = ready_bench()
     feed(bench, 2, time_ms=lambda host: 900.0 if host == 100 else 200.0)
+    bench.pass_time(2 * SECOND)  # its slots are written
     fleet = bench.steward.fleet
     fleet.integral[:] = [0.0] * len(fleet.integral)
     before = list(fleet.weight)
@@ -71,6 +72,16 @@
     assert fleet.weight == pytest.approx(before)
 
 
+def test_turns_keep_behind_the_sums_that_come_together():
+    """Guards against news that wait up to a turn."""
+    bench = ready_bench()
+    feed(bench, 4)
+    bench.give(*[notes.HostSums(host, 0, 8, 0, 200_000.0, SECOND, None) for host in bench.hosts])
+    assert all(bench.steward.fleet.news)
+    bench.pass_time(SECOND // 5)
+    assert not any(bench.steward.fleet.news)
+
+
 def test_load_that_other_stewards_bring_counts():
     bench = Bench(start_facts(products=(product(), product(own_zone=True))))
     bench.give(full(*[entry(100 + i, zone=i % 3) for i in range(9)]), notes.ProxyJoined(0, 1, 10.0, True))
