A suspect is asked again at once, and a jammed host that is silent is no idle one

Now a fill over three times the mean counts on without news, unless nobody has any, and the second probe goes at once. First weights are rescaled to a mean of 1: one probe answered in no time had made them a hundredth.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -39,7 +39,7 @@
         self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.best_part = 0.0  # voided by the best third
-        self.able = self.entering = self.last_us = self.alarm_us = self.sums_us = self.burst_us = 0
+        self.able = self.entering = self.last_us = self.alarm_us = 0
         self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
         self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
@@ -61,11 +61,6 @@
         self.kin = {self.kind[kin[0]]: sum(self.weight[i] for i in kin) / len(kin)
                     for kin in grouped(warm, lambda i: self.kind[i])}
 
-    def hear(self, now: int) -> None:  # sums that come together, seconds apart from others, set the turns
-        if now - self.sums_us > SECOND_US // 4:
-            self.burst_us = now
-        self.sums_us = now
-
     def kin_mean(self, place: int) -> float:  # of a kind not known warm the least: it may be small
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
@@ -133,7 +128,7 @@
     def on_sums(self, sums: notes.HostSums) -> None:
         """Guards against hosts that void txns fast and so look empty: each counts as late."""
         fleet, i, voided = self.fleet, self.place, min(sums.voided, sums.tries)
-        fleet.hear(self.desk.now)
+        fleet.hear(self.desk.now, SECOND_US // 4)  # which come together set the turns
         fleet.age(i, self.desk.now, MEMORY_US)
         fleet.heard_us[i], fleet.news[i] = self.desk.now, True
         good = sums.tries - voided if 0 < sums.mean_us < NO_CAP else 0
@@ -160,6 +155,8 @@
         usual = fleet.best_part if fleet.cut[i] else fleet.voided_part  # in an overload probes get through
         if enough and spared and i in fleet.playing() and (cut or self.suspect(usual)):
             fleet.shut[i], self.shut_us = True, self.desk.now
+        elif not enough and fleet.may_probe and i in fleet.playing() and self.suspect(fleet.best_part):
+            self.desk.out.append(orders.Probe(fleet.ids[i]))  # no second one that waits for the turn
 
     def on_turn(self, _: Beat) -> None:
         fleet, i = self.fleet, self.place
@@ -206,6 +203,7 @@
     PAYS = 1.2  # times the least move that is worth its line: a shorter lead would keep the slot for good
     SLOWNESS, DRAIN = 0.3, 0.45  # surcharges for slow hosts and for queues; more made queues swing
     AT_ONCE = 3.0  # txns a usual host works on before any waits; with more in hand these tell its powers
+    JAMMED = 0.75  # fill: a stress of three times the mean; a late report is then no idle host
     PRIOR_TRIES = 3.0  # shrinks a host's mean time, or weight, to its kind's while few tries are counted
     PROBED_US = SECOND_US // 4  # a probe that takes longer tells nothing of speed
     OWN_LEAST, OWN_MOST = 0.7, 1.4  # of its kind's: single probes are off by twice, some answer at once
@@ -218,8 +216,8 @@
 
     def pause_us(self) -> int:
         """Guards against news that wait up to a turn: turns keep a tenth of a second behind sums."""
-        late = (self.desk.now - self.fleet.burst_us - self.TURN_US // 10) % self.TURN_US
-        late = late - self.TURN_US if late > self.TURN_US // 2 else late
+        half, late = self.TURN_US // 2, self.desk.now - self.fleet.burst_us - self.TURN_US // 10
+        late = (late + half) % self.TURN_US - half
         return self.TURN_US - late * (self.fleet.burst_us > 0)
 
     def handle(self, note: Any) -> None:
@@ -227,7 +225,7 @@
         if fleet.learning_us and playing:
             self.take_over(playing)
         fills = {} if fleet.learning_us or note is Beat.CHANGED else self.fills(playing)
-        if not fills:
+        if not fills or not any(fleet.news[i] for i in playing):
             return
         mean_fill = sum(fills.values()) / len(fills)
         mean = sum(fleet.weight[i] for i in playing) / len(playing)
@@ -235,7 +233,8 @@
         eager = 1 + self.EAGER / self.turns if len({fleet.listed[i] for i in playing}) == 1 else 1.0
         for i in playing:
             # No news, no error: unheard hosts count as average, so a blind steward's weights stay.
-            error = mean_fill - fills[i] if fleet.news[i] and i in fills else 0.0
+            said = fleet.news[i] or fills.get(i, 0.0) > self.JAMMED  # silent, for it still is
+            error = mean_fill - fills[i] if said and i in fills else 0.0
             before, change = fleet.error[i], 0.0
             fleet.integral[i] = fleet.integral[i] * (1 - self.LEAK) + error
             if fleet.news[i]:
@@ -266,6 +265,7 @@
                     own = max(self.OWN_LEAST, min(self.OWN_MOST, (shown[i] / usual) ** 0.5)) * usual / mean
                     by_tries = kind * (shown[i] + self.PRIOR_TRIES) / (kind * mean + self.PRIOR_TRIES)
                     fleet.weight[i] = by_tries if fleet.old else own
+            fleet.rescale(playing)
 
     def fills(self, playing: list[int]) -> dict[int, float]:
         """0 to 1: the part of a host's powers that its present weight takes, against the mean."""
@@ -373,7 +373,6 @@
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = -facts.messages_window_us
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
-        self.broken: list[int] = []  # when streams ended, in the last second
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
@@ -417,8 +416,8 @@
 
     def count_broken(self) -> None:  # together they may tell of a cut, seconds before sums: all are asked
         fleet, now = self.fleet, self.desk.now
-        self.broken = [at for at in self.broken if at > now - SECOND_US] + [now]
-        if len(self.broken) > max(2, self.BURST * len(self.zone_of)) and now - fleet.alarm_us > SECOND_US:
+        many = self.broken_since(now, SECOND_US) > max(2, self.BURST * len(self.zone_of))
+        if many and now - fleet.alarm_us > SECOND_US:
             fleet.alarm_us = now
             self.desk.out += [orders.Probe(fleet.ids[i]) for i in fleet.playing() if fleet.may_probe]
 
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -28,6 +28,7 @@
         self.integral: list[float] = []
         self.standing: list[float] = []  # the weight that its slot stands for, as pushed
         self.news: list[bool] = []  # heard since the last turn
+        self.sums_us = self.burst_us = 0  # the clock when the last sums came, and the first of those together
         # Beside the controller
         self.cap: list[float] = []  # the most that an entering host's weight counts for
         self.shut: list[bool] = []
@@ -88,6 +89,11 @@
         for i in places:
             self.weight[i] *= scale
 
+    def hear(self, now: int, apart_us: int) -> None:
+        """Sums came: together with those before, if no more time lies between."""
+        self.burst_us = now if now - self.sums_us > apart_us else self.burst_us
+        self.sums_us = now
+
     def age(self, place: int, now: int, half_life_us: int) -> None:
         self.fade(place, 0.5 ** ((now - self.faded_us[place]) / half_life_us))
         self.faded_us[place] = now
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -50,6 +50,7 @@
         self.tables = tables
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
+        self.broken: list[int] = []  # when streams ended, of late
 
     def join(self, note: notes.ProxyJoined) -> None:
         self.zone_of[note.proxy] = note.zone
@@ -60,6 +61,11 @@
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
+    def broken_since(self, now: int, span_us: int) -> int:
+        """One more ended: how many within the span."""
+        self.broken = [at for at in self.broken if at > now - span_us] + [now]
+        return len(self.broken)
+
     def users(self, table: Pushed) -> list[int]:
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -135,6 +136,28 @@
     assert 0 < bench.lines[0][100] <= bench.lines[0][101] / 2
 
 
+def test_a_suspect_is_asked_again_at_once_and_no_more_than_it_takes():
+    bench = ready_bench(hosts=9)
+    feed(bench, 6)
+    for host in bench.hosts:
+        bench.give(notes.HostSums(host, 0, 9, 9 * (host == 100), 200_000.0, SECOND, None))
+    bad = notes.ProbeResult(100, Outcome.ERROR, 1000, None)
+    assert probes(bench.give(bad)) == {100} and not bench.steward.fleet.shut[0]
+    assert not probes(bench.give(bad)) and bench.steward.fleet.shut[0]
+    assert not probes(bench.give(replace(bad, host=101)))  # no suspect
+
+
+def test_a_jammed_host_that_is_silent_is_no_idle_one():
+    """Guards against a host that answers nobody, so brings no news, and keeps its weight for that."""
+    bench = ready_bench(hosts=9)
+    feed(bench, 6)
+    feed(bench, 1, time_ms=lambda host: 9000.0 if host == 100 else 200.0)
+    fleet, before = bench.steward.fleet, bench.steward.fleet.weight[0]
+    fleet.integral[0] = 0.0
+    feed(bench, 1, skip=(100,))
+    assert fleet.weight[0] < 0.9 * before
+
+
 def test_half_the_fleet_may_fall_silent_but_no_more_than_three_quarters_are_shut(monkeypatch):
     bench = ready_bench(hosts=12)
     feed(bench, 3)
