--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -38,7 +38,7 @@
         sla_us = [product.sla_us for product in facts.products]
         self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
-        self.best_part = 0.0  # voided by the best third: two zones of three may be out of reach
+        self.best_part = 0.0  # voided by the best third
         self.able = self.entering = self.last_us = self.alarm_us = 0
         self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
         self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
@@ -51,6 +51,7 @@
         self.crowding = tries * LN_2 * SECOND_US / MEMORY_US / max(1, self.proxies * len(ready))
         self.time_part = sum(self.time_us[i] for i in ready) / tries
         self.tries_a_weight = sum(self.tries[i] for i in heard) / (sum(self.weight[i] for i in heard) or 1.0)
+        # By the best third, since two zones of three may be out of reach.
         best = sorted(heard, key=lambda i: self.voided[i] / self.tries[i])[:max(1, len(heard) // 3)]
         self.best_part = sum(self.voided[i] for i in best) / (sum(self.tries[i] for i in best) or 1.0)
         self.last_us = sorted(self.heard_us[i] for i in heard)[len(heard) * 2 // 3] if heard else 0
@@ -97,7 +98,8 @@
         fleet.zone[i], fleet.kind[i], fleet.state[i] = entry.zone, entry.kind, entry.state
         if entry.state is HostState.READY:
             restarted, self.started_us = entry.started_us > self.started_us, entry.started_us
-            if restarted:  # a new process: what was heard of the old one, and held against it, is over
+            if restarted:
+                # A new process: what was heard of the old one, and held against it, no longer counts.
                 fleet.fade(i, 0.0)
                 fleet.error[i], fleet.integral[i], fleet.shut[i] = None, 0.0, False
                 self.share, self.needed, fleet.heard_us[i] = 1.0, self.GOOD_PROBES, self.desk.now
@@ -349,7 +351,6 @@
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
-    HOLD_US = SECOND_US // 2  # after an alarm ordinary lines wait: hosts out of reach go before them
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
@@ -371,8 +372,7 @@
         most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = -facts.messages_window_us
-        self.withdrawn, self.due = set[int](), set[int]()  # hosts; those to take out yet
-        self.refused = self.held = False  # some of these had no room; a turn's ordinary lines wait
+        self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
@@ -387,7 +387,7 @@
                 elif i not in self.withdrawn and self.gone_lines(i):
                     self.due.add(i)
             case notes.ProxyJoined():
-                self.channel.left(note.proxy)
+                self.leave(note.proxy)
                 self.join(note)
                 self.untold_us = self.untold_us or self.desk.now
                 if self.fleet.learning_us == 0:
@@ -398,7 +398,6 @@
                         self.desk.out.append(orders.Probe(self.fleet.ids[i]))
             case notes.ProxyLeft():
                 self.leave(note.proxy)
-                self.channel.left(note.proxy)
                 self.count_broken()
             case notes.Applied():
                 self.channel.answered(note.proxy, note.serial)
@@ -411,6 +410,10 @@
                 self.write(note is Beat.TURN)
                 self.bind_waiting()
 
+    def leave(self, proxy: int) -> None:
+        super().leave(proxy)
+        self.channel.left(proxy)
+
     def count_broken(self) -> None:  # together they may tell of a cut, seconds before sums: all are asked
         fleet, now = self.fleet, self.desk.now
         many = self.broken_since(now, SECOND_US) > max(2, self.BURST * len(self.zone_of))
@@ -427,8 +430,6 @@
         fleet, joined, heads = self.fleet, len(self.zone_of), len(self.zone_of) * self.channel.head
         whole = sum(len(self.users(table)) * len(table.pushed) for table in self.tables) + heads
         fleet.proxies, fleet.dear, fleet.least_move = joined, whole > self.allowance, 0.0
-        hold, turn = self.desk.now - fleet.alarm_us < self.HOLD_US, turn or self.held
-        turn, self.held = turn and not hold, turn and hold
         since, room = self.desk.now - self.written_us, self.limit - self.channel.waiting - heads
         # A busy channel gathers orders under fewer heads; first drains go at once, refused ones when all fit.
         fits = self.refused and sum(map(self.gone_lines, self.due)) <= room
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -53,7 +53,6 @@
         self.broken: list[int] = []  # when streams ended, of late
 
     def join(self, note: notes.ProxyJoined) -> None:
-        self.leave(note.proxy)
         self.zone_of[note.proxy] = note.zone
         self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
 
