--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -1,7 +1,7 @@
 """All decisions of a steward. Its door, steward.py: Steward(facts, seed).deliver(clock_us, notes) -> orders.
 
-Facts, notes and orders are the types in plankroute/interface. The design (docs/design.md): a leaky PID on fill
-moves each host's weight every turn, and only changed slots of one shared table are pushed. Beside it:
+Facts, notes and orders are the types in plankroute/interface. The design (docs/design.md): a leaky PID on
+fill moves each host's weight every turn, and only changed slots of one shared table are pushed. Beside it:
 1. Cold hosts: a host just started, or let back in, is capped and rises as it warms.
 2. Health: a host that voids its txns or is silent is probed, shut out, and let back by degrees.
 3. Drains: hosts that drain or are gone are withdrawn before all else.
