Probes are asked for in one place, and who leaves the lists of strangers too

Read over the whole change. The same two lines asked for probes in four places of decide.py, each with its own look at whether they are permitted: Fleet.probes now. The listener took peers off its lists by twin loops in end and turn_away and by twin pairs in accept and answer: drop and take_off now. An unused constant and a second import of the same state are gone; least_move's comment says what it holds.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -64,6 +64,9 @@
     def kin_mean(self, place: int) -> float:  # of a kind not known warm the least: it may be small
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
+    def probes(self, places: Iterable[int]) -> list[orders.Order]:
+        return [orders.Probe(self.ids[i]) for i in places if self.may_probe]
+
 
 class Host(Actor):
     """One host: its place in the list, whether it is cold, what is heard of it, and its health."""
@@ -155,8 +158,8 @@
         usual = fleet.best_part if fleet.cut[i] else fleet.voided_part  # in an overload probes get through
         if enough and spared and i in fleet.playing() and (cut or self.suspect(usual)):
             fleet.shut[i], self.shut_us = True, self.desk.now
-        elif not enough and fleet.may_probe and i in fleet.playing() and self.suspect(fleet.best_part):
-            self.desk.out.append(orders.Probe(fleet.ids[i]))  # no second one that waits for the turn
+        elif not enough and i in fleet.playing() and self.suspect(fleet.best_part):
+            self.desk.out += fleet.probes([i])  # no second one that waits for the turn
 
     def on_turn(self, _: Beat) -> None:
         fleet, i = self.fleet, self.place
@@ -170,8 +173,7 @@
             self.share = min(1.0, self.share * self.RISE)
             self.bad_probes *= ask
         self.warm()
-        if fleet.may_probe and ask:
-            self.desk.out.append(orders.Probe(fleet.ids[i]))
+        self.desk.out += fleet.probes([i] if ask else ())
 
     def suspect(self, usual: float) -> bool:  # by symptom, whatever the cause
         fleet, i = self.fleet, self.place
@@ -394,8 +396,7 @@
                     self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
                     learns = self.fleet.old or self.fleet.may_probe and not sized
                     self.fleet.learning_us = self.desk.now if learns else None
-                    for i in self.fleet.playing() if learns and note.fresh else ():
-                        self.desk.out.append(orders.Probe(self.fleet.ids[i]))
+                    self.desk.out += self.fleet.probes(self.fleet.playing() if learns and note.fresh else ())
             case notes.ProxyLeft():
                 self.leave(note.proxy)
                 self.count_broken()
@@ -419,7 +420,7 @@
         many = self.broken_since(now, SECOND_US) > max(2, self.BURST * len(self.zone_of))
         if many and now - fleet.alarm_us > SECOND_US:
             fleet.alarm_us = now
-            self.desk.out += [orders.Probe(fleet.ids[i]) for i in fleet.playing() if fleet.may_probe]
+            self.desk.out += fleet.probes(fleet.playing())
 
     def order(self, order: orders.Order, proxies: Iterable[int], lines: int = 1) -> None:
         self.desk.out.append(order)
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -35,7 +35,7 @@
         self.speed: list[float] = []  # probes a second, by the last one that was answered
         self.cut: list[bool] = []  # the last probe did not get through
         self.proxies = 0  # joined
-        self.least_move = 0.0  # the smallest move of a usual slot, as a part of it, that is worth its line
+        self.least_move = 0.0  # what a line costs, as a part of a usual slot
         self.dear = False  # writing all slots takes more than a turn's room in the channel
         self.most = 0  # warm hosts listed ready at once, at any time so far
         # Fading sums of the recent past; held is what load reports told
--- a/plankroute/net/intake.py
+++ b/plankroute/net/intake.py
@@ -5,7 +5,7 @@
 from plankroute.net.errors import Refused, Stage
 from plankroute.net.ring import Pool, Ring
 
-LF, CR = 10, 13
+LF = 10
 
 
 class LineCutter:
--- a/plankroute/net/listener.py
+++ b/plankroute/net/listener.py
@@ -115,8 +115,7 @@
         if isinstance(said, CollectorSaid):
             self.replace_collector(peer)
         if not peer.is_stranger():
-            self.strangers.pop(peer, None)
-            self.askers.pop(peer, None)
+            self.take_off(peer)
             peer.join()
         if isinstance(note, notes.ProxyJoined):
             self.streams.join(peer, note)
@@ -128,8 +127,7 @@
         peer.outlet.send(ALIVE)
         if not peer.is_stranger():
             return
-        self.strangers.pop(peer, None)
-        self.askers.pop(peer, None)
+        self.take_off(peer)
         self.askers[peer] = None
         peer.times_asked += 1
         if peer.times_asked > MOST_ASKED:
@@ -146,14 +144,23 @@
                 old.outlet.reset()
 
     def end(self, peer: Peer, why: str) -> None:
-        for held in (self.peers, self.strangers, self.askers):
-            held.pop(peer, None)
+        self.drop(peer)
         self.streams.end(peer, why)
         if peer.party.role is Role.COLLECTOR:
             self.book.log.event("info", "collector_left", why=why)
         peer.cutter.ring.release()
         peer.outlet.close()
 
+    def drop(self, peer: Peer) -> None:
+        """It takes no room any more."""
+        self.peers.pop(peer, None)
+        self.take_off(peer)
+
+    def take_off(self, peer: Peer) -> None:
+        """Off the lists of those that are yet to say who they are."""
+        self.strangers.pop(peer, None)
+        self.askers.pop(peer, None)
+
     def make_room(self) -> None:
         """Where descriptors are few those that have but asked go first, then the oldest stranger."""
         if len(self.peers) > self.room.peers and (waiting := self.askers or self.strangers):
@@ -173,7 +180,6 @@
 
     def turn_away(self, peer: Peer) -> None:
         """It no longer counts, though its connection's end is still to run: each is to make room for one."""
-        for held in (self.peers, self.strangers, self.askers):
-            held.pop(peer, None)
+        self.drop(peer)
         self.book.count("dropped.strangers")
         peer.outlet.turn_away(ERROR)
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -9,7 +9,7 @@
 
 from model import DRAINING, GONE, READY, SECOND, entry, full, start_facts
 from plankroute.interface import notes, orders
-from plankroute.interface.notes import HostState, ListKind, LoadReport, Outcome
+from plankroute.interface.notes import ListKind, LoadReport, Outcome
 from plankroute.messages import Player
 from plankroute.net import http, wire
 from plankroute.net.admit import Admission, Party, Role
@@ -338,7 +338,7 @@
         book = Book(Log("n", lambda line: None))
         directory = Directory(Clock(), ("a",), ("m",), ("p",))
         directory.note(ListSaid(1, True, tuple(
-            EntrySaid(f"s-{n}", "127.0.0.1:9", "a", "m", 0, HostState.READY, 1.0, 0.0) for n in range(3))))
+            EntrySaid(f"s-{n}", "127.0.0.1:9", "a", "m", 0, READY, 1.0, 0.0) for n in range(3))))
         prober = Prober(start_facts(), directory, Clock(), book, 1000, lambda: 9, lambda note: None)
         for host in range(3):
             prober.probe(host)
