Membership's core: probes by all, four votes, self-doubt, and a merge that is a semilattice

Need: stewards know nothing of each other, and installations that let them talk need to know who is alive through pauses, losses, one-sided cuts and partitions. Nothing of it is imported by a bare start yet.

--- /dev/null
+++ b/plankroute/membership/detector.py
@@ -0,0 +1,103 @@
+"""Whom to probe, when to try again and by which other way, and when silence has lasted too long.
+
+Knows nothing of verdicts: it says who did not answer for the whole patience."""
+
+from dataclasses import dataclass
+
+from plankroute.chance import Chance
+
+TRY_AGAIN_US = 350_000  # between tries of a probe: eight in the usual patience, so losses alone seldom end it
+HELPERS = 1  # members sent on an errand at each further try; another one each time
+SMALL = 6  # members: in a group this small each is probed once a second by each other one
+WATCH_US = 500_000  # between pings of a suspect: it has to hear of the suspicion
+
+
+@dataclass(slots=True)
+class Probe:
+    """One member that is to answer; all tries bear the same number, and one answer to any of them ends it."""
+
+    place: int
+    number: int
+    since_us: int
+    again_us: int
+    is_over: bool = False  # it went unanswered: tries go on, so that the suspect hears of it
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Ping the place under that number; `helpers`: how many others are sent there as well."""
+
+    place: int
+    number: int
+    helpers: int
+
+
+class Detector:
+    """Each member in turn, in an order that is drawn anew each round: the time to a first probe is bounded."""
+
+    def __init__(self, probe_us: int, patience_us: int, chance: Chance) -> None:
+        self.probe_us, self.patience_us, self.chance = probe_us, patience_us, chance
+        self.order: list[int] = []
+        self.by_place: dict[int, Probe] = {}
+        self.by_number: dict[int, Probe] = {}
+        self.next_us = self.number = 0
+
+    def draw(self, below: int) -> int:
+        return int(self.chance.draw() * below)
+
+    def between_us(self, living: int) -> int:
+        return max(self.probe_us, 1_000_000 // max(1, living)) if living < SMALL else self.probe_us
+
+    def due(self, now_us: int, living: set[int], slowness: float) -> tuple[list[Ask], list[int]]:
+        """What to ask now, and the places whose patience has just run out."""
+        for place in [place for place in self.by_place if place not in living]:
+            self.end(place)
+        asks, silent = self.try_again(now_us, slowness)
+        if now_us >= self.next_us and living:
+            self.next_us = max(now_us, self.next_us + self.between_us(len(living)))
+            if (place := self.next_place(living)) is not None:
+                asks.append(self.begin(place, now_us))
+        return asks, silent
+
+    def try_again(self, now_us: int, slowness: float) -> tuple[list[Ask], list[int]]:
+        asks, silent = list[Ask](), list[int]()
+        for probe in self.by_place.values():
+            if not probe.is_over and now_us - probe.since_us >= self.patience_us * slowness:
+                probe.is_over = True
+                silent.append(probe.place)
+            if now_us >= probe.again_us:
+                probe.again_us = now_us + (WATCH_US if probe.is_over else TRY_AGAIN_US)
+                asks.append(Ask(probe.place, probe.number, 0 if probe.is_over else HELPERS))
+        return asks, silent
+
+    def next_place(self, living: set[int]) -> int | None:
+        """The next in turn that is living and not being asked already."""
+        for _ in range(2):
+            while self.order:
+                if (place := self.order.pop()) in living and place not in self.by_place:
+                    return place
+            self.order = self.shuffled(sorted(living))
+        return None
+
+    def shuffled(self, places: list[int]) -> list[int]:
+        for at in range(len(places) - 1, 0, -1):
+            other = self.draw(at + 1)
+            places[at], places[other] = places[other], places[at]
+        return places
+
+    def begin(self, place: int, now_us: int) -> Ask:
+        self.number += 1
+        probe = Probe(place, self.number, now_us, now_us + TRY_AGAIN_US)
+        self.by_place[place] = self.by_number[probe.number] = probe
+        return Ask(place, probe.number, 0)
+
+    def answered(self, number: int) -> int | None:
+        """The place that the answer is of; None where nobody was asked under that number."""
+        if (probe := self.by_number.get(number)) is None:
+            return None
+        self.end(probe.place)
+        return probe.place
+
+    def end(self, place: int) -> None:
+        if probe := self.by_place.pop(place, None):
+            del self.by_number[probe.number]
--- /dev/null
+++ b/plankroute/membership/group.py
@@ -0,0 +1,379 @@
+"""The door of membership: events and the time in, actions out. What the program is told of others is said here;
+no rule of the steward may come to rest on it."""
+
+from collections.abc import Callable
+
+import msgspec
+
+from plankroute.chance import Chance
+from plankroute.membership import exchange, spreading
+from plankroute.membership.claim import Claim, Reply
+from plankroute.membership.detector import Ask, Detector
+from plankroute.membership.facts import MOST_DATAGRAM, MemberFacts
+from plankroute.membership.health import Awake, OwnDoubt
+from plankroute.membership.messages import (Action, Answer, BeatDue, Change, Counted, Errand, Event, Finished,
+                                            Handed, Heard, LeaveAsked, Line, News, Piece, Ping, Rest, Said,
+                                            SeedsChanged, Send, Told, ViewAsked, ViewPiece)
+from plankroute.membership.records import Record, Standing
+from plankroute.membership.verdicts import Verdicts
+from plankroute.membership.views import NEVER, View
+
+BEAT_US = 100_000  # time-outs are counted in tenths of a second; ten wakes a second cost next to nothing
+RECALL_US = 1_000_000  # between calls to a seed, or to one that is gone: a cut heals without anybody's help
+SEED_SHARE = 0.3  # of these calls go to seeds, where both kinds are there
+ALONE_US = 5_000_000  # without a word from anybody: said openly
+FORGET_EVERY_US = 10_000_000
+LEAVE_BEATS, LEAVE_MOST = 3, 32  # a leave is told to that many at once, so often; 0.2 s in all
+YIELD_BEATS, YIELD_MOST = 5, 8  # a displaced process says so, then is silent
+FIXED_BYTES = 48  # of a datagram, beside its records
+LINE_BYTES = 12  # of a line of a view that an operator asks for, beside its record
+ERRANDS = 256  # under way for others: more than all members together send one in a patience
+DRAWS = 4  # for each member that is to be drawn: three quarters may be suspected
+NO_NUMBER = 0  # of pings that nobody waits for
+
+
+class Membership:
+    """One member of the group. `life`: drawn anew at each start. `wall_us`: Unix time, from which the
+    incarnation counts up, so that a new life most often overrules an old one at once; nothing rests on it."""
+
+    def __init__(self, facts: MemberFacts, seed: int, life: int, wall_us: int,
+                 size: Callable[[Record], int]) -> None:
+        self.facts, self.size, self.chance = facts, size, Chance(seed)
+        self.view = View(Record(facts.name, facts.address, facts.zone, life, max(1, wall_us)))
+        self.awake, self.doubt = Awake(), OwnDoubt()
+        self.verdicts = Verdicts(self.view, self.doubt, facts.patience_us)
+        self.detector = Detector(facts.probe_us, facts.patience_us, self.chance)
+        self.rumours = spreading.Rumours()
+        self.at_once = spreading.Tokens(spreading.RATE, spreading.BURST)
+        self.compared = spreading.Tokens(exchange.RATE, exchange.BURST)
+        self.served = spreading.Tokens(exchange.RATE, exchange.BURST)
+        self.errands: dict[int, tuple[str, int]] = {}  # by own number: for whom, under which of theirs
+        self.fresh: dict[str, None] = {}
+        self.seed_places: dict[str, int] = {}
+        self.claim: Claim | None = None
+        self.now = self.beat_us = self.recall_us = self.forget_us = 0
+        self.heard_any_us, self.is_alone = NEVER, False
+        self.leaving = self.yielding = -1  # beats left to say so; -1: neither
+        self.is_silent = False
+        self.out: list[Action] = []
+
+    def deliver(self, now_us: int, events: list[Event]) -> list[Action]:
+        """`now_us`: steady time. The last action says when to come back though nothing happened."""
+        self.now = self.awake.read(now_us)
+        if self.claim is None:
+            self.claim, self.heard_any_us = Claim(self.now), self.now
+            self.recall_us, self.forget_us = self.now, self.now + FORGET_EVERY_US
+            self.beat_us = now_us + int(BEAT_US * self.chance.draw())
+        for event in events:
+            self.handle(event)
+        if now_us >= self.beat_us:
+            self.beat_us = now_us + BEAT_US
+            self.beat()
+        self.spread_fresh()
+        self.out += self.verdicts.out
+        self.verdicts.out = []
+        self.awake.due_us = self.beat_us
+        self.out.append(Rest(self.beat_us))
+        out, self.out = self.out, []
+        return out
+
+    def handle(self, event: Event) -> None:
+        match event:
+            case Heard(source, ViewAsked(first)):
+                self.send(source, self.view_piece(first))
+            case Heard() if self.is_silent:
+                self.count("silent")
+            case Heard(source, said):
+                self.hear(source, said)
+            case SeedsChanged(seeds):
+                self.facts = self.facts.with_seeds(seeds)
+                self.recall_us = self.now
+            case LeaveAsked() if self.leaving < 0:
+                self.leave()
+            case BeatDue():
+                pass
+
+    # What others say
+
+    def hear(self, source: str, said: Said) -> None:
+        match said:
+            case Ping():
+                self.take_all((said.me, *said.rumours), said.me)
+                self.answer(source, said)
+            case Answer():
+                self.take_all((said.me, *said.rumours), said.me)
+                self.on_answer(source, said)
+            case Errand():
+                self.take_all((said.me, *said.rumours), said.me)
+                self.run_errand(source, said)
+            case Handed():
+                self.take_all((said.record, *said.rumours))
+                self.settle(said.number)
+            case News():
+                self.take_all(said.rumours)
+            case Piece():
+                self.take_all(said.records, rides=False)
+                if said.want and self.served.take(self.now):
+                    self.give(source, set(said.want), [])
+
+    def take_all(self, records: tuple[Record, ...], sender: Record | None = None, rides: bool = True) -> None:
+        """The sender's own record counts as word from it, whatever stands in it. `rides`: what is new is passed
+        on; what came by an exchange reaches others by theirs."""
+        for record in records:
+            if record.name == self.facts.name:
+                self.hear_of_self(record)
+            else:
+                self.take(record, rides)
+        if sender is not None and sender.name != self.facts.name:
+            if (place := self.view.index.get(sender.name)) is not None:
+                self.heard_any_us = self.now
+                self.doubt.hear(place, self.now)
+
+    def take(self, record: Record, rides: bool = True) -> None:
+        if (merged := self.view.merge(record, self.now)) is None:
+            self.count("full")
+            return
+        place, before, after = merged
+        if before is None:
+            self.verdicts.new(place, after, self.now)
+        elif after != before:
+            if after.key() != before.key():
+                self.detector.end(place)
+            self.verdicts.follow(place, before, after, self.now)
+            if place in self.verdicts.contested:
+                self.send(after.address, News((after,)))  # whoever it is of shall hear of it, and deny it
+        else:
+            return
+        if rides:
+            self.pass_on(after.name)
+
+    def pass_on(self, name: str) -> None:
+        self.rumours.add(name)
+        self.fresh[name] = None
+
+    def hear_of_self(self, record: Record) -> None:
+        own = self.view.own()
+        if record == own or self.leaving >= 0:
+            return
+        assert self.claim
+        reply, now_own = self.claim.hear(own, record, self.now)
+        if reply is not Reply.NOTHING:
+            self.count(reply.value)
+        if reply is Reply.DISPLACED:
+            self.yield_to(record)
+        elif now_own != own:
+            self.view.put(0, now_own)
+            self.pass_on(now_own.name)
+            if now_own.rival > own.rival:
+                self.out.append(Told(Change.DOUBLED, now_own))
+        if reply is Reply.CALLED_GONE:
+            self.out.append(Told(Change.CALLED_GONE, now_own))
+
+    def yield_to(self, record: Record) -> None:
+        """The other process keeps the name; that there were two is said to all."""
+        rival = self.view.own().life
+        self.view.put(0, msgspec.structs.replace(record, rival=max(record.rival, rival)))
+        self.out.append(Told(Change.DISPLACED, self.view.own()))
+        self.yielding, self.is_silent = YIELD_BEATS, True
+
+    # Probes, answers, errands
+
+    def answer(self, source: str, ping: Ping) -> None:
+        """Sums ride along where the views differ; what is known of the sender, where it says otherwise."""
+        sums = b""
+        if ping.digest != self.view.digest() and self.compared.take(self.now):
+            sums = self.view.bucket_sums()
+        rumours = self.riding(self.known_otherwise(ping.me), len(sums))
+        self.send(source, Answer(ping.number, self.view.own(), rumours, sums))
+
+    def known_otherwise(self, me: Record) -> Record | None:
+        place = self.view.index.get(me.name)
+        return None if place is None or self.view.at(place) == me else self.view.at(place)
+
+    def riding(self, first: Record | None, taken: int = 0) -> tuple[Record, ...]:
+        """Rumours for one datagram, led by the one that its reader has to know."""
+        room = MOST_DATAGRAM - FIXED_BYTES - taken - self.size(self.view.own())
+        room -= self.size(first) if first else 0
+        more = self.rumours.take(len(self.view), room, self.record_of, self.size)
+        return (first, *more) if first else tuple(more)
+
+    def record_of(self, name: str) -> Record | None:
+        place = self.view.index.get(name)
+        return None if place is None else self.view.at(place)
+
+    def on_answer(self, source: str, answer: Answer) -> None:
+        if (errand := self.errands.pop(answer.number, None)) is not None:
+            whom, number = errand
+            self.send(whom, Handed(number, answer.me, self.riding(None)))
+        self.settle(answer.number)
+        if answer.sums and (differing := self.view.differing(answer.sums)):
+            self.give(source, set(differing), differing)
+
+    def settle(self, number: int) -> None:
+        """Whoever answers is alive; a suspicion that stands is its own to deny."""
+        if (place := self.detector.answered(number)) is not None:
+            self.doubt.drop(place)
+
+    def run_errand(self, source: str, errand: Errand) -> None:
+        self.detector.number += 1
+        if len(self.errands) >= ERRANDS:
+            del self.errands[next(iter(self.errands))]
+        self.errands[self.detector.number] = source, errand.number
+        self.send(errand.target, self.ping(self.detector.number, None))
+
+    def ping(self, number: int, about: Record | None) -> Ping:
+        return Ping(number, self.view.digest(), self.view.own(), self.riding(about))
+
+    def give(self, to: str, buckets: set[int], want: list[int]) -> None:
+        self.count("exchanges")
+        for piece in exchange.pieces(self.view.in_buckets(buckets), want, self.size):
+            self.send(to, piece)
+
+    def ask(self, ask: Ask) -> None:
+        """A suspect is told of the suspicion with each ping."""
+        record = self.view.at(ask.place)
+        about = record if record.standing is not Standing.ALIVE else None
+        self.send(record.address, self.ping(ask.number, about))
+        for place in self.drawn(ask.helpers, ask.place):
+            rumours = self.riding(None, len(record.address))
+            self.send(self.view.at(place).address,
+                      Errand(ask.number, record.address, self.view.own(), rumours))
+
+    def drawn(self, number: int, without: int = 0) -> list[int]:
+        """Different living members that nobody complains of; fewer where there are no more, or chance is unkind."""
+        living = self.view.living()
+        if number >= len(living):
+            return [place for place in living if place != without]
+        out = list[int]()
+        for _ in range(DRAWS * number):
+            place = living[self.detector.draw(len(living))]
+            if place != without and place not in out and place not in self.view.suspected_places:
+                out.append(place)
+                if len(out) == number:
+                    break
+        return out
+
+    # What time brings
+
+    def beat(self) -> None:
+        if self.leaving >= 0:
+            return self.go_on_leaving()
+        if self.is_silent:
+            return self.go_on_yielding()
+        slowness = self.doubt.slowness(self.shared(), self.now)
+        asks, silent = self.detector.due(self.now, self.view.living_places, slowness)
+        for place in silent:
+            self.complain(place)
+        for place in self.verdicts.look(self.now):
+            self.pass_on(self.view.at(place).name)
+        for ask in asks:
+            if self.view.records[ask.place]:
+                self.ask(ask)
+        if self.now >= self.recall_us:
+            self.recall_us = self.now + RECALL_US
+            self.recall()
+        if self.now >= self.forget_us:
+            self.forget_us = self.now + FORGET_EVERY_US
+            for place in self.view.long_final(self.now - self.facts.forget_us):
+                self.view.forget(place)
+        self.look_alone()
+
+    def shared(self) -> set[int]:
+        """Places of which others complain too."""
+        mark = self.verdicts.mark
+        return {place for place in self.doubt.raised_us
+                if any(voter != mark for voter in self.view.at(place).voters)}
+
+    def complain(self, place: int) -> None:
+        record = self.view.at(place)
+        if record.is_final():
+            return
+        self.count("complaints")
+        self.doubt.raise_against(place, self.now)
+        self.take(msgspec.structs.replace(record, standing=Standing.SUSPECTED, voters=(self.verdicts.mark,)))
+
+    def recall(self) -> None:
+        """Guards against a cut that never heals, and a start before all seeds: nobody is given up for good."""
+        seeds = [seed for seed in self.facts.seeds if not self.is_living_seed(seed)]
+        gone = sorted(self.view.gone_places)
+        if seeds and (not gone or self.chance.draw() < SEED_SHARE):
+            self.send(seeds[self.detector.draw(len(seeds))], self.ping(NO_NUMBER, None))
+        elif gone:
+            record = self.view.at(gone[self.detector.draw(len(gone))])
+            self.send(record.address, self.ping(NO_NUMBER, record))
+
+    def is_living_seed(self, seed: str) -> bool:
+        """The place that had the address last is looked at first: a search each time would cost the whole view."""
+        if seed == self.facts.address:
+            return True
+        place = self.seed_places.get(seed, 0)
+        if place in self.view.living_places and self.view.at(place).address == seed:
+            return True
+        found = [place for place in self.view.living_places if self.view.at(place).address == seed]
+        self.seed_places[seed] = found[0] if found else 0
+        return bool(found)
+
+    def look_alone(self) -> None:
+        alone = self.now - self.heard_any_us > ALONE_US
+        if alone is not self.is_alone:
+            self.is_alone = alone
+            self.out.append(Told(Change.ALONE if alone else Change.IN_COMPANY, self.view.own()))
+
+    def spread_fresh(self) -> None:
+        """News go to a few at once, as many records as fit; the rest ride."""
+        if not self.fresh or self.is_silent:
+            return
+        names, self.fresh = list(self.fresh), {}
+        room, records = MOST_DATAGRAM - FIXED_BYTES, list[Record]()
+        for name in names:
+            if (record := self.record_of(name)) is not None and (room := room - self.size(record)) >= 0:
+                records.append(record)
+        for place in self.drawn(self.at_once.take(self.now, spreading.AT_ONCE)):
+            self.send(self.view.at(place).address, News(tuple(records)))
+
+    # Ends
+
+    def leave(self) -> None:
+        if self.is_silent:
+            self.out.append(Finished())
+            return
+        self.leaving = LEAVE_BEATS
+        self.view.put(0, msgspec.structs.replace(self.view.own(), standing=Standing.LEFT, voters=()))
+        self.beat_us = 0  # the first word goes out at once
+
+    def go_on_leaving(self) -> None:
+        self.leaving -= 1
+        if self.leaving < 0:
+            return
+        self.say_own(LEAVE_MOST)
+        if self.leaving == 0:
+            self.out.append(Finished())
+
+    def go_on_yielding(self) -> None:
+        self.yielding -= 1
+        if self.yielding >= 0:
+            self.say_own(YIELD_MOST)
+            self.send(self.view.own().address, News((self.view.own(),)))
+
+    def say_own(self, most: int) -> None:
+        for place in self.drawn(most):
+            self.send(self.view.at(place).address, News((self.view.own(),)))
+
+    # For operators
+
+    def view_piece(self, first: int) -> ViewPiece:
+        """As many lines as fit, by name, the steward's own first of all."""
+        places = [0, *(place for _, place in sorted(self.view.index.items()) if place)]
+        room, lines = MOST_DATAGRAM - FIXED_BYTES, list[Line]()
+        for place in places[first:]:
+            record = self.view.at(place)
+            if (room := room - self.size(record) - LINE_BYTES) < 0:
+                break
+            lines.append(Line(record, self.view.told[place], self.now - self.view.since_us[place]))
+        return ViewPiece(len(places), first, tuple(lines))
+
+    def send(self, address: str, said: Said) -> None:
+        self.out.append(Send(address, said))
+
+    def count(self, name: str) -> None:
+        self.out.append(Counted(name))
--- /dev/null
+++ b/plankroute/membership/spreading.py
@@ -0,0 +1,63 @@
+"""How news spreads: records that ride on what is sent anyway, and at once to a few. Bounded in size, number, rate."""
+
+import math
+from collections.abc import Callable
+
+from plankroute.membership.records import Record
+
+TIMES = 1  # each rumour rides that often a doubling of the group; views that differ after it are compared
+MOST_RIDING = 10  # rumours on a datagram: some 600 bytes
+MOST_WAITING = 1024  # rumours kept: a larger change is left to the comparison of views
+AT_ONCE = 3  # members that hear of news at once: a doubling and more a hop, with a third of datagrams lost
+RATE, BURST = 10, 30  # datagrams with news a second, and at once: beyond, rumours ride
+SECOND_US = 1_000_000
+
+
+class Rumours:
+    """By name, how often the newest record of it has ridden; those that rode least go first."""
+
+    def __init__(self) -> None:
+        self.rode: dict[str, int] = {}
+        self.dropped = 0
+
+    def add(self, name: str) -> None:
+        self.rode.pop(name, None)  # it goes to the end of those that never rode
+        if len(self.rode) >= MOST_WAITING:
+            del self.rode[max(self.rode, key=self.rode.__getitem__)]
+            self.dropped += 1
+        self.rode[name] = 0
+
+    def take(self, members: int, room: int, record: Callable[[str], Record | None],
+             size: Callable[[Record], int]) -> list[Record]:
+        """Records that fit into `room` bytes; each is let go when it rode often enough."""
+        if not self.rode:
+            return []
+        most, out = TIMES * math.ceil(math.log2(members + 2)), list[Record]()
+        for name in sorted(self.rode, key=self.rode.__getitem__)[:MOST_RIDING]:
+            if (known := record(name)) is None:
+                del self.rode[name]
+                continue
+            room -= size(known)
+            if room < 0:
+                break
+            out.append(known)
+            self.rode[name] += 1
+            if self.rode[name] >= most:
+                del self.rode[name]
+        return out
+
+
+class Tokens:
+    """A budget that fills again with time."""
+
+    def __init__(self, rate: float, burst: float) -> None:
+        self.rate, self.burst = rate, burst
+        self.left, self.read_us = burst, 0
+
+    def take(self, now_us: int, wanted: int = 1) -> int:
+        """As many of those wanted as there are."""
+        self.left = min(self.burst, self.left + self.rate * max(0, now_us - self.read_us) / SECOND_US)
+        self.read_us = max(now_us, self.read_us)
+        got = min(wanted, int(self.left))
+        self.left -= got
+        return got
