--- a/plankroute/lab/simulated.py
+++ b/plankroute/lab/simulated.py
@@ -13,7 +13,9 @@
 from plankroute.membership.codec import HEADER, Codec
 from plankroute.membership.facts import MemberFacts
 from plankroute.membership.group import Membership
-from plankroute.membership.messages import (BeatDue, Counted, Finished, Heard, LeaveAsked, Rest, Send, Told)
+from plankroute.membership.messages import (BeatDue, Counted, Finished, Heard, LeaveAsked, Piece, Rest, Send,
+                                            Told)
+from plankroute.membership.records import Record
 
 WAY_US = 300  # one way between members where no rule says otherwise
 FIRST_US = 100 * SECOND  # the clock at the start
@@ -50,11 +52,11 @@
 
 
 Maker = Callable[[int, int, int, tuple[str, ...]], Core]
-READ_AS_OURS = HEADER.size
 
 
 class Group:
-    """`members` cores under a script; `seeds`: the first members' addresses. All start within `start_s`."""
+    """`members` cores under a script; `seeds`: the first members' addresses. All start within `start_s`;
+    `known`: each with all others in its view, as a group that has long come together."""
 
     def __init__(self, members: int, script: Script, make: Maker = plankroute_member, seed: int = 1,
                  start_s: float = 1.0, seeds: int = 3, known: bool = False) -> None:
@@ -70,6 +72,7 @@
         self.sent: Counter[tuple[int, int]] = Counter()
         self.bytes, self.datagrams, self.busy_s = 0, 0, 0.0
         self.counts: Counter[str] = Counter()
+        self.known = known
         self.heap: list[tuple[int, int, Callable[..., None], tuple[Any, ...]]] = []
         self.number, self.now = 0, 0
         for member in range(members):
@@ -95,6 +98,10 @@
         self.lives[member] += 1
         self.cores[member] = self.make(member, self.lives[member], self.seed, self.seeds)
         self.waiting[member], self.paused[member], self.beat_us[member] = [], False, 0
+        if self.known and self.lives[member] == 1:
+            everybody = tuple(Record(name_of(other), address_of(other), f"z{other % 3}", (other << 16) + 1,
+                                     WALL_US + 1) for other in range(len(self.cores)) if other != member)
+            self.deliver(member, Heard(address_of(member), Piece(everybody)))
         self.deliver(member, BeatDue())
 
     def do(self, step: Step) -> None:
