The list service is called with care: one call in rounds by rank, Retry-After heeded, a budget

Change: coldstart/calls.py (pure), net/careful.py, a coldstart section in our own file (off without it), net/extras.py, a stand-in of the list service and gated starts in the lab. Hangs, half lists, restarts, one call in three, Retry-After of an hour or nonsense: all serve (tests).

--- /dev/null
+++ b/plankroute/lab/cold.py
@@ -0,0 +1,120 @@
+"""Cold starts of many real stewards at one moment: what the list service and the hosts see of it, and when all serve."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import msgspec
+
+from plankroute.lab.faults import SECOND, Script
+from plankroute.lab.listservice import Behaviour, ListService, Mode, Phase, target
+from plankroute.lab.processes import Fleet, Plan
+
+
+
+class Case(msgspec.Struct, frozen=True):
+    """A cold start: `way` is today's (no file of ours), alone, or peers."""
+
+    way: str
+    stewards: int
+    hosts: int = 500
+    behaviour: Behaviour = Behaviour()
+    seed: int = 1
+    net: int = 90
+    limit_s: float = 120.0
+    own: dict[str, Any] = {}
+
+
+class Seen(msgspec.Struct):
+    """What a cold start showed; times in seconds after the start."""
+
+    way: str
+    stewards: int
+    calls: int
+    refused: int
+    busiest: int
+    first_s: float | None
+    last_s: float | None
+    served: int
+    bytes: int
+    calls_by_steward: list[int]
+    bins: dict[int, int]
+    cpu_s: float = 0.0
+    notes: dict[str, Any] = {}
+
+
+def plan_of(case: Case, service: str) -> Plan:
+    own = {"calls_a_second": case.behaviour.rate, **case.own}
+    return Plan(case.stewards, Script(case.seed), case.net, is_bare=case.way == "today", is_gated=True,
+                more={"coldstart": own}, told={"discovery": service, "known": None})
+
+
+class ColdStart:
+    """One cold start, for whoever looks at it while it goes on."""
+
+    def __init__(self, case: Case) -> None:
+        self.case = case
+        targets = [target(host, f"127.0.0.1:{9 + host % 2}") for host in range(case.hosts)]
+        self.service = ListService(targets, case.behaviour)
+        self.fleet: Fleet | None = None
+
+    async def begin(self) -> "ColdStart":
+        address = await self.service.open(f"127.250.{self.case.net}.1")
+        self.fleet = Fleet(plan_of(self.case, address))
+        if not self.fleet.plan.is_bare:
+            await self.fleet.links.open()
+        for member in range(self.case.stewards):
+            await self.fleet.start(member)
+        await self.fleet.open_gate()
+        self.service.begin()
+        return self
+
+    def served_us(self) -> list[int | None]:
+        """By steward, when it first had a list of all hosts."""
+        assert self.fleet
+        return [next((line["at_us"] for line in lines if line.get("event") == "list" and line.get("kind") == "full"
+                      and line.get("revision", 0) > 0), None) for lines in self.fleet.lines]
+
+    async def until(self, holds: Callable[[], bool]) -> bool:
+        assert self.fleet
+        return await self.fleet.until(holds, self.case.limit_s)
+
+    async def until_all_serve(self) -> bool:
+        return await self.until(lambda: None not in self.served_us())
+
+    def seen(self) -> Seen:
+        assert self.fleet
+        times = sorted(time / SECOND for time in self.served_us() if time is not None)
+        whole = len(times) == self.case.stewards
+        service = self.service
+        return Seen(self.case.way, self.case.stewards, service.calls, service.answers["refused"], service.busiest(),
+                    round(times[0], 2) if times else None, round(times[-1], 2) if whole else None, len(times),
+                    service.bytes, sorted(service.by_caller.values()), dict(service.bins), self.cpu_s())
+
+    def cpu_s(self) -> float:
+        """Of all processes so far, a steward."""
+        assert self.fleet
+        ticks = 0
+        for process in self.fleet.running.values():
+            with open(f"/proc/{process.pid}/stat") as file:
+                ticks += sum(int(figure) for figure in file.read().rpartition(")")[2].split()[11:13])
+        return ticks / 100 / len(self.fleet.running)
+
+    async def close(self) -> None:
+        if self.fleet:
+            await self.fleet.close()
+        self.service.close()
+
+
+async def run_case(case: Case) -> Seen:
+    start = ColdStart(case)
+    try:
+        await start.begin()
+        await start.until_all_serve()
+        return start.seen()
+    finally:
+        await start.close()
+
+
+def outage(until_s: float, rate: float, retry_after: str | None = "1") -> Behaviour:
+    return Behaviour(rate, retry_after, (Phase(0.0, Mode.DOWN), Phase(until_s)))
--- a/plankroute/lab/processes.py
+++ b/plankroute/lab/processes.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import ctypes
+import os
 import signal
 import sys
 import tempfile
@@ -49,6 +50,11 @@
     names: dict[int, str] = {}  # where a member goes by another's name
     skewed: dict[int, tuple[float, float]] = {}  # whose clock of the day jumps: after so long, by so much
     own: dict[str, Any] = {}  # more of the membership section
+    more: dict[str, Any] = {}  # further sections of our own file
+    told: dict[str, Any] = {}  # instead of the usual words of the configuration
+    settings: dict[str, Any] = {}  # and of its settings
+    is_bare: bool = False  # without our own file
+    is_gated: bool = False  # all processes wait, and start at one moment
 
 
 class Fleet:
@@ -62,6 +68,7 @@
         self.tasks = set[asyncio.Task[None]]()
         self.folder = tempfile.TemporaryDirectory(prefix="plankroute-lab-")
         self.launched_ns, self.began_us = time.monotonic_ns(), -1
+        self.gate: tuple[int, ...] = os.pipe() if plan.is_gated else ()
 
     def addresses(self, port: int) -> list[Address]:
         return [(f"127.{self.plan.net}.{member // 250}.{member % 250 + 1}", port)
@@ -81,30 +88,50 @@
         """A moment of the script on the history's clock."""
         return self.began_us + int(script_s * SECOND)
 
-    async def start(self, member: int) -> None:
-        folder = Path(self.folder.name)
+    def own_file(self, member: int) -> dict[str, Any]:
         host = self.real[member][0]
-        own = {"membership": {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{KNOWN_PORT}",
-                              "seeds": [f"{self.known[seed][0]}:{KNOWN_PORT}" for seed in self.plan.seeds
-                                        if seed < self.plan.members],
-                              **self.plan.own}}
-        told = {"name": self.name(member), "listen": f"{host}:{STREAM_PORT}", "discovery": NOWHERE,
-                "seed": f"{member + 1:x}", "limits": {"memory_mb": 192, "sockets": 256},
-                "known": {"rev": 1, "all": True, "targets": []}, "settings": {**SETTINGS, "zone": member % 3}}
-        files = folder / f"own{member}.json", folder / f"told{member}.json"
-        for path, what in zip(files, (own, told), strict=True):
+        seeds = [f"{self.known[seed][0]}:{KNOWN_PORT}" for seed in self.plan.seeds if seed < self.plan.members]
+        return {"membership": {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{KNOWN_PORT}",
+                               "seeds": seeds, **self.plan.own}, **self.plan.more}
+
+    def configuration(self, member: int) -> dict[str, Any]:
+        settings = {**SETTINGS, "zone": member % 3, "rank": member, "instances": self.plan.members}
+        return {"name": self.name(member), "listen": f"{self.real[member][0]}:{STREAM_PORT}", "discovery": NOWHERE,
+                "seed": f"{member + 1:x}", "limits": {"memory_mb": 192, "sockets": 1024},
+                "known": {"rev": 1, "all": True, "targets": []}, **self.plan.told,
+                "settings": {**settings, **self.plan.settings}}
+
+    async def start(self, member: int) -> None:
+        folder, environment = Path(self.folder.name), {"PYTHONPATH": ":".join(sys.path), "PYTHONDONTWRITEBYTECODE": "1"}
+        files = {"GW_CONFIG": (folder / f"told{member}.json", self.configuration(member))}
+        if not self.plan.is_bare:
+            files[OWN_FILE] = folder / f"own{member}.json", self.own_file(member)
+        for variable, (path, what) in files.items():
             path.write_bytes(orjson.dumps(what))
+            environment[variable] = str(path)
         words = ["-m", "plankroute"]
         if member in self.plan.skewed:
             words = ["-m", "plankroute.lab.skewed", *map(str, self.plan.skewed[member])]
+        elif self.gate:
+            words = ["-m", "plankroute.lab.gated", str(self.gate[0])]
         process = await asyncio.create_subprocess_exec(
             sys.executable, *words, stdin=asyncio.subprocess.DEVNULL, stderr=asyncio.subprocess.PIPE,
-            preexec_fn=die_with_the_lab,
-            env={"GW_CONFIG": str(files[1]), OWN_FILE: str(files[0]), "PYTHONPATH": ":".join(sys.path),
-                 "PYTHONDONTWRITEBYTECODE": "1"})
+            preexec_fn=die_with_the_lab, env=environment, pass_fds=self.gate[:1])
         self.running[member] = process
         self.keep(self.gather(member, process))
 
+    def are_waiting(self) -> bool:
+        return all(any(line.get("event") == "waits" for line in self.lines[member]) for member in self.running)
+
+    async def open_gate(self) -> bool:
+        """All start at one moment, once all are there; the history's clock starts anew."""
+        came = await self.until(self.are_waiting, JOIN_S)
+        self.launched_ns = time.monotonic_ns()
+        gate, self.gate = self.gate, ()
+        for end in gate:
+            os.close(end)
+        return came
+
     def keep(self, work: Any) -> None:
         task = asyncio.create_task(work)
         self.tasks.add(task)
@@ -177,6 +204,9 @@
 
     async def close(self) -> None:
         self.history.ends_us = self.now_us()
+        for end in self.gate:
+            os.close(end)
+        self.gate = ()
         for process in self.running.values():
             if process.returncode is None:
                 process.kill()
--- a/plankroute/membership/group.py
+++ b/plankroute/membership/group.py
@@ -17,6 +17,7 @@
 from plankroute.membership.records import Record, Standing
 from plankroute.membership.verdicts import Verdicts
 from plankroute.membership.views import NEVER, View
+from plankroute.tokens import Tokens
 
 BEAT_US = 100_000  # time-outs are counted in tenths of a second; ten wakes a second cost next to nothing
 RECALL_US = 1_000_000  # between calls to a seed, or to one that is gone: a cut heals without anybody's help
@@ -44,9 +45,9 @@
         self.verdicts = Verdicts(self.view, self.doubt, facts.patience_us)
         self.detector = Detector(facts.probe_us, facts.patience_us, self.chance)
         self.rumours = spreading.Rumours()
-        self.at_once = spreading.Tokens(spreading.RATE, spreading.BURST)
-        self.compared = spreading.Tokens(exchange.RATE, exchange.BURST)
-        self.served = spreading.Tokens(exchange.RATE, exchange.BURST)
+        self.at_once = Tokens(spreading.RATE, spreading.BURST)
+        self.compared = Tokens(exchange.RATE, exchange.BURST)
+        self.served = Tokens(exchange.RATE, exchange.BURST)
         self.errands: dict[int, tuple[str, int]] = {}  # by own number: for whom, under which of theirs
         self.fresh: dict[str, None] = {}
         self.seed_places: dict[str, int] = {}
--- a/plankroute/membership/spreading.py
+++ b/plankroute/membership/spreading.py
@@ -11,7 +11,6 @@
 AT_ONCE = 3  # members that hear of news at once: a doubling and more a hop, with a third of datagrams lost
 RATE, BURST = 20, 30  # datagrams with news a second, and at once: beyond, rumours ride
 GAP_US = 50_000  # between two such sends: a storm's news are gathered, so that each datagram is full
-SECOND_US = 1_000_000
 
 
 class Rumours:
@@ -46,19 +45,3 @@
             if self.rode[name] >= most:
                 del self.rode[name]
         return out
-
-
-class Tokens:
-    """A budget that fills again with time."""
-
-    def __init__(self, rate: float, burst: float) -> None:
-        self.rate, self.burst = rate, burst
-        self.left, self.read_us = burst, 0
-
-    def take(self, now_us: int, wanted: int = 1) -> int:
-        """As many of those wanted as there are."""
-        self.left = min(self.burst, self.left + self.rate * max(0, now_us - self.read_us) / SECOND_US)
-        self.read_us = max(now_us, self.read_us)
-        got = min(wanted, int(self.left))
-        self.left -= got
-        return got
--- /dev/null
+++ b/plankroute/net/careful.py
@@ -0,0 +1,87 @@
+"""Discovery called with care: one call a round instead of as many as fail, the watch alone, Retry-After heeded.
+
+When is `coldstart.calls`'s to decide; here are the sockets, the clock, log lines and counters."""
+
+import asyncio
+import time
+from typing import Any
+
+from plankroute.coldstart.calls import Began, Broke, CallFacts, Caller, Event, Refused, retry_after_us
+from plankroute.net.discovery import Discovery
+from plankroute.net.http import Call
+
+LOOK_S = 0.5  # between looks at how old the list is
+
+
+def now_us() -> int:
+    return time.monotonic_ns() // 1000
+
+
+class CarefulDiscovery(Discovery):
+    """`list_old_us`: without a word for so long, what is listed is said to be old."""
+
+    def prepare(self, facts: CallFacts, list_old_us: int, seed: int) -> None:
+        self.caller, self.list_old_us = Caller(facts, seed), list_old_us
+        self.heard_us, self.is_old, self.times_taken = now_us(), False, 0
+        self.looking: asyncio.Task[None] | None = None
+
+    def start(self, known: Any) -> None:
+        super().start(known)
+        self.looking = asyncio.create_task(self.look())
+
+    def close(self) -> None:
+        for task in (self.looking, self.watching):
+            if task:
+                task.cancel()
+
+    async def watch_always(self) -> None:
+        event: Event = Began()
+        while True:
+            due_us = self.caller.deliver(now_us(), event).due_us
+            await asyncio.sleep(max(0, due_us - now_us()) / 1e6)
+            event = await self.call_once()
+
+    async def call_once(self) -> Event:
+        """One watch from the revision that is held, to its end. A list held is never asked for whole again."""
+        self.book.count("sent.calls")
+        before, began_us, call = self.times_taken, now_us(), None
+        try:
+            call = await self.watch_from(self.revision or 0)
+        except Exception as error:  # an error of ours must not leave the steward without a list
+            self.book.log.event("error", "discovery_failed", why=f"{type(error).__name__}: {error}")
+        if self.times_taken > before:
+            return Broke(now_us() - began_us)
+        self.book.count("refused.calls")
+        return Refused(self.asked_to_wait(call))
+
+    def asked_to_wait(self, call: Call | None) -> int | None:
+        text = call.retry_after if call else None
+        asked = retry_after_us(text, time.time())
+        if text is not None:
+            self.book.count("dropped.retry_after" if asked is None else "taken.retry_after")
+        return asked
+
+    def take(self, text: bytes) -> bool:
+        """Any list or change is a word from the service."""
+        if not super().take(text):
+            return False
+        self.times_taken += 1
+        self.hear()
+        return True
+
+    def hear(self) -> None:
+        """The service, or one that has its word, was heard; an empty line of a watch counts."""
+        self.heard_us = now_us()
+        if self.is_old:
+            self.is_old = False
+            self.book.log.event("info", "list_fresh", revision=self.revision)
+
+    async def look(self) -> None:
+        """What came late may mean drains that were missed: said openly, and nothing more can be done."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if not self.is_old and now_us() - self.heard_us > self.list_old_us:
+                self.is_old = True
+                self.book.count("list_old")
+                self.book.log.event("warning", "list_old", revision=self.revision,
+                                    for_s=round((now_us() - self.heard_us) / 1e6, 1))
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -112,7 +112,11 @@
         """Until it ends: by its end, its silence, or by what can't be read."""
         if self.revision is None and not await self.ask():
             return
-        call = Call(self.address, watch_target(self.revision or 0), self.limits)
+        await self.watch_from(self.revision or 0)
+
+    async def watch_from(self, revision: int) -> Call:
+        """The call, whose end is logged."""
+        call = Call(self.address, watch_target(revision), self.limits)
         why = CallFailed(Reached.BODY, "ended")
         try:
             async with aclosing(call.pieces()) as pieces:
@@ -123,11 +127,13 @@
             call.close()
         self.book.count("dropped.watches")
         self.book.log.event("warning", "watch_ended", reached=why.reached.value, why=why.why)
+        return call
 
     async def follow(self, call: Call, pieces: AsyncIterator[bytes]) -> CallFailed | None:
         most = self.limits.most_body
         cutter = LineCutter(most, Pool(2 * most))
         async for piece in pieces:
+            self.hear()
             if call.status != 200:
                 return CallFailed(call.reached, f"status {call.status}")
             for line in cutter.feed(piece):
@@ -135,6 +141,9 @@
                     return CallFailed(call.reached, "what came can't be used")
         return None
 
+    def hear(self) -> None:
+        """Something came; what is called with care keeps the time."""
+
     def take(self, text: bytes) -> bool:
         """A list goes to the core; False where it can't be used, and the old one stays."""
         said = read_list(text)
--- a/plankroute/net/http.py
+++ b/plankroute/net/http.py
@@ -36,6 +36,7 @@
     def __init__(self, address: str, target: str, limits: Limits) -> None:
         self.address, self.target, self.limits = address, target, limits
         self.reached, self.status = Reached.NOTHING, 0
+        self.retry_after: bytes | None = None  # as the answer has it, if it does
         self.asked = self.dialled = 0.0  # when it asked, and how long the connection took to come up
         self.machine = h11.Connection(h11.CLIENT)
         self.writer: asyncio.StreamWriter | None = None
@@ -63,6 +64,7 @@
                     self.machine.receive_data(await reader.read(READ_AT_ONCE))
             elif isinstance(event, h11.Response):
                 self.reached, self.status = Reached.HEAD, event.status_code
+                self.retry_after = dict(event.headers).get(b"retry-after")
             elif isinstance(event, h11.Data):
                 self.reached = Reached.BODY
                 yield bytes(event.data)
--- a/plankroute/net/members.py
+++ b/plankroute/net/members.py
@@ -20,11 +20,11 @@
 from plankroute.membership.group import Membership
 from plankroute.membership.messages import (Action, BeatDue, Change, Counted, Event, Finished, Heard, LeaveAsked,
                                             Rest, SeedsChanged, Send, Told, ViewAsked)
-from plankroute.membership.spreading import Tokens
 from plankroute.membership.views import MOST_MEMBERS, mark_of
 from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
 from plankroute.ownfile import MembershipPart
+from plankroute.tokens import Tokens
 
 TAKEN_BYTES = 262144  # the kernel's buffer: two seconds' datagrams of a large group, for when the process stands still
 UNSENT_BYTES = 65536  # waiting for the kernel: beyond, datagrams are dropped, which the core bears as any loss
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -27,7 +27,7 @@
 from plankroute.steward import Steward
 
 if TYPE_CHECKING:
-    from plankroute.net.members import Members
+    from plankroute.net.extras import Extras
     from plankroute.ownfile import OwnFile
 
 OWN_FILE = "PLANKROUTE_FILE"  # names our own JSON file; without it all that the file switches on is off
@@ -53,22 +53,21 @@
         answer_s = boot.facts.queue_cap / max(1.0, boot.facts.lines_per_s) + boot.facts.way_most_us / 1e6
         streams = Streams(admission.joined, book, answer_s, put)
         self.listener = Listener(admission, streams, book, boot.room, put)
-        self.discovery = Discovery(boot.discovery, boot.room.list_bytes, self.directory, book, boot.seed,
-                                   boot.facts.must_subscribe, put)
+        self.extras = self.extras_of(own)
+        make = self.extras.make_discovery if self.extras else Discovery
+        self.discovery = make(boot.discovery, boot.room.list_bytes, self.directory, book, boot.seed,
+                              boot.facts.must_subscribe, put)
         self.router.send = Sender(streams, Writer(boot.products, self.directory.uid), book).send
         self.prober = Prober(boot.facts, self.directory, clock, book, boot.dial_us,
                              self.listener.room_for_probes, put)
         self.router.probe = self.prober.probe
         self.router.ask, self.router.forget = self.discovery.obey, self.directory.forget
-        self.members = self.members_of(own)
 
-    def members_of(self, own: "OwnFile | None") -> "Members | None":
-        if own is None or own.membership is None:
+    def extras_of(self, own: "OwnFile | None") -> "Extras | None":
+        if own is None:
             return None
-        from plankroute.net.members import Members, Self  # off, it costs a bare start neither time nor memory
-        zones, zone = self.boot.zones, self.boot.facts.own_zone
-        me = Self(self.boot.name, zones[zone] if zone < len(zones) else "", self.boot.seed)
-        return Members(own.membership, me, self.book, self.router.put)
+        from plankroute.net.extras import Extras  # off, it costs a bare start neither time nor memory
+        return Extras(own, self.boot, self.book, self.router.put)
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
@@ -85,12 +84,12 @@
         self.book.log.event("info", "listening", address=self.boot.listen,
                             hosts=len(self.directory.hosts))
         sweeping = asyncio.create_task(self.sweep())
-        if self.members:
-            self.members.start()
+        if self.extras:
+            self.extras.start()
         await self.stop.wait()
         sweeping.cancel()
-        if self.members:
-            await self.members.leave()
+        if self.extras:
+            await self.extras.close()
         self.prober.close()
         self.listener.close()
 
@@ -103,7 +102,7 @@
             self.book.log.event("error", "reload_failed", why=f"{type(error).__name__}: {error}")
             return
         kept = [name for name in KEPT if getattr(new, name) != getattr(self.boot, name)]
-        kept += self.reload_members(own)
+        kept += self.extras.reload(own) if self.extras else ["own file"] * (own is not None)
         moved = new.discovery != self.boot.discovery
         self.boot = replace(self.boot, discovery=new.discovery, room=new.room)
         self.listener.allow(new.room)
@@ -113,13 +112,6 @@
         self.book.count("taken.configurations")
         self.book.log.event("warning" if kept else "info", "reloaded", discovery=new.discovery, kept=kept)
 
-    def reload_members(self, own: "OwnFile | None") -> list[str]:
-        """Seeds change; the names of what else differs in our own file, which waits for a restart."""
-        part = own.membership if own else None
-        if self.members is None or part is None:
-            return ["membership"] if self.members or part else []
-        return self.members.reload(part)
-
     async def open(self) -> None:
         """Guards against a start that fails because the process before has not quite gone."""
         end = time.monotonic() + OPEN_AGAIN_S
--- a/plankroute/ownfile.py
+++ b/plankroute/ownfile.py
@@ -39,10 +39,28 @@
         ge=60, le=86_400, description="how long those gone or left are remembered and called")] = 3600
 
 
+class ColdStartPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """A start of many stewards at once that spares the list service and the hosts (docs/coldstart.md)."""
+
+    calls_a_second: Annotated[float, msgspec.Meta(
+        ge=0.1, le=100_000, description="calls that the list service answers in a second, of all stewards")] = 20.0
+    stewards: Annotated[Annotated[int, msgspec.Meta(ge=1, le=10_000)] | None, msgspec.Meta(
+        description="how many stewards there are at most; else as the settings state")] = None
+    rank: Annotated[Annotated[int, msgspec.Meta(ge=0, le=10_000)] | None, msgspec.Meta(
+        description="this one's place among them, from 0; else as the settings state")] = None
+    pause_most_s: Annotated[float, msgspec.Meta(
+        ge=1, le=3600, description="the longest round of calls to a service that goes on refusing")] = 60.0
+    retry_after_most_s: Annotated[float, msgspec.Meta(
+        ge=0, le=3600, description="what a Retry-After may ask for at most")] = 30.0
+    list_old_s: Annotated[float, msgspec.Meta(
+        ge=1, le=3600, description="without a word from the list for so long, drains may have been missed: said")] = 15.0
+
+
 class OwnFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """deploy/plankroute.json: each section switches one part on."""
 
     membership: MembershipPart | None = None
+    coldstart: ColdStartPart | None = None
 
 
 class OwnFileError(StartError):
