The list through peers: three watchers by rendezvous, lists over links, resumed where they broke

Need: hundreds of stewards that each watch the list service cost it as many calls and whole lists. Off without a coldstart.links section.

--- /dev/null
+++ b/plankroute/coldstart/frames.py
@@ -0,0 +1,88 @@
+"""The codec of links between stewards: frames of MessagePack behind their length. Only here: how they look."""
+
+import struct
+
+import msgspec
+
+VERSION = 1
+LENGTH = struct.Struct("!I")
+MOST_FRAME = 65536  # bytes: a part of a list and little else
+PART_BYTES = 16384  # of a list in one frame: on a link of 50 KB/s one comes each third of a second
+MOST_REVISION = 1 << 62
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """The first frame, from who dials. `partial`: revision, check sum and bytes there of a list that broke off."""
+
+    version: int
+    group: str
+    name: str
+    revision: int
+    light: bool
+    partial: tuple[int, int, int] | None = None
+
+
+class Begin(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A list of `size` bytes follows, from `offset` on; `check`: of the whole."""
+
+    revision: int
+    whole: bool
+    size: int
+    check: int
+    offset: int = 0
+
+
+class Part(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    data: bytes
+
+
+class Beat(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """What is held, and how old the word from the service is; -1: no list."""
+
+    revision: int
+    age_us: int
+
+
+class Probed(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """What probes of hosts have told: name, outcome, time taken, age, start of the host (`probers.py`)."""
+
+    results: tuple[tuple[str, str, int, int, float], ...]
+
+
+Frame = Hello | Begin | Part | Beat | Probed
+ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
+
+
+def write_frame(frame: Frame) -> bytes:
+    body = ENCODER.encode(frame)
+    return LENGTH.pack(len(body)) + body
+
+
+class FrameCutter:
+    """Bytes as they come to frames; None in their place where they can't be any, after which nothing is read."""
+
+    def __init__(self) -> None:
+        self.held, self.is_spoilt = bytearray(), False
+
+    def feed(self, data: bytes) -> list[Frame | None]:
+        out: list[Frame | None] = []
+        self.held += data
+        while not self.is_spoilt and len(self.held) >= LENGTH.size:
+            size, = LENGTH.unpack_from(self.held)
+            if size > MOST_FRAME:
+                self.spoil(out)
+            elif len(self.held) < LENGTH.size + size:
+                break
+            else:
+                body = bytes(self.held[LENGTH.size:LENGTH.size + size])
+                del self.held[:LENGTH.size + size]
+                try:
+                    out.append(DECODER.decode(body))
+                except (msgspec.MsgspecError, RecursionError):
+                    self.spoil(out)
+        return out
+
+    def spoil(self, out: list[Frame | None]) -> None:
+        self.is_spoilt = True
+        self.held.clear()
+        out.append(None)
--- a/plankroute/lab/cold.py
+++ b/plankroute/lab/cold.py
@@ -23,6 +23,7 @@
     net: int = 90
     limit_s: float = 120.0
     own: dict[str, Any] = {}
+    script: Script = Script(1)
 
 
 class Seen(msgspec.Struct):
@@ -45,8 +46,9 @@
 
 def plan_of(case: Case, service: str) -> Plan:
     own = {"calls_a_second": case.behaviour.rate, **case.own}
-    return Plan(case.stewards, Script(case.seed), case.net, is_bare=case.way == "today", is_gated=True,
-                more={"coldstart": own}, told={"discovery": service, "known": None})
+    return Plan(case.stewards, case.script, case.net, is_bare=case.way == "today", is_gated=True,
+                more={"coldstart": own}, told={"discovery": service, "known": None}, has_links=case.way == "peers",
+                has_members=case.way == "peers")
 
 
 class ColdStart:
@@ -61,12 +63,15 @@
     async def begin(self) -> "ColdStart":
         address = await self.service.open(f"127.250.{self.case.net}.1")
         self.fleet = Fleet(plan_of(self.case, address))
-        if not self.fleet.plan.is_bare:
+        if self.fleet.plan.has_members:
             await self.fleet.links.open()
+            await self.fleet.streams.open()
         for member in range(self.case.stewards):
             await self.fleet.start(member)
         await self.fleet.open_gate()
         self.service.begin()
+        if self.case.script.rules or self.case.script.steps:
+            self.fleet.keep(self.fleet.play())
         return self
 
     def served_us(self) -> list[int | None]:
--- a/plankroute/lab/faults.py
+++ b/plankroute/lab/faults.py
@@ -45,6 +45,7 @@
     spread_ms: float = 0.0
     late_share: float = 0.0
     late_ms: float = 0.0
+    bytes_a_second: float | None = None  # of links of TCP, each
 
     def meets(self, at_s: float, sender: int, receiver: int) -> bool:
         return (self.from_s <= at_s < self.until_s
@@ -78,6 +79,12 @@
                 delay_us += (rule.delay_ms + rule.spread_ms * chances.draw()) * MS
         return tuple(int(delay_us * (1 + copy)) for copy in range(copies))
 
+    def pace(self, at_us: int, sender: int, receiver: int) -> float | None:
+        """Bytes a second that a link of TCP carries that way: 0 where it is cut, None for no bound."""
+        rules = [rule for rule in self.rules if rule.meets(at_us / SECOND, sender, receiver)]
+        paces = [0.0 if rule.cut else rule.bytes_a_second for rule in rules]
+        return min((pace for pace in paces if pace is not None), default=None)
+
     def ends_s(self) -> float:
         """When the last step is done and the last rule with an end is over."""
         ends = [step.at_s for step in self.steps] + [rule.until_s for rule in self.rules if rule.until_s < 1e9]
--- a/plankroute/lab/links.py
+++ b/plankroute/lab/links.py
@@ -8,6 +8,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from typing import cast
 
 from plankroute.lab.faults import Script
@@ -76,6 +77,63 @@
                 link.transport.close()
 
 
+class Streams:
+    """Links of TCP between stewards, slow or cut by script: a cut says nothing, as on a real network."""
+
+    AT_ONCE, LOOK_S = 8192, 0.05  # bytes carried at a time; how often a cut link looks whether it is whole again
+
+    def __init__(self, real: list[Address], known: list[Address], script: Script,
+                 script_us: Callable[[], int | None]) -> None:
+        self.real, self.known, self.script, self.script_us = real, known, script, script_us
+        self.members = {address[0]: member for member, address in enumerate(known)}
+        self.servers: list[asyncio.Server] = []
+        self.writers = set[asyncio.StreamWriter]()
+        self.opened: Counter[tuple[int, int]] = Counter()
+
+    async def open(self) -> None:
+        for member, address in enumerate(self.known):
+            self.servers.append(await asyncio.start_server(partial(self.serve, member), *address, limit=self.AT_ONCE))
+
+    async def serve(self, receiver: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        sender = self.members.get(writer.get_extra_info("peername")[0], -1)
+        self.opened[sender, receiver] += 1
+        ends = [writer]
+        try:
+            far_reader, far = await asyncio.open_connection(*self.real[receiver], limit=self.AT_ONCE)
+            ends.append(far)
+            self.writers.update(ends)
+            ways = [asyncio.create_task(self.carry(reader, far, sender, receiver)),
+                    asyncio.create_task(self.carry(far_reader, writer, receiver, sender))]
+            await asyncio.wait(ways, return_when=asyncio.FIRST_COMPLETED)
+            for way in ways:
+                way.cancel()
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            for end in ends:
+                end.transport.abort()
+            self.writers.difference_update(ends)
+
+    async def carry(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, sender: int,
+                    receiver: int) -> None:
+        try:
+            while data := await reader.read(self.AT_ONCE):
+                while (pace := self.script.pace(self.script_us() or 0, sender, receiver)) == 0.0:
+                    await asyncio.sleep(self.LOOK_S)
+                writer.write(data)
+                await writer.drain()
+                if pace:
+                    await asyncio.sleep(len(data) / pace)
+        except OSError:
+            pass  # an end: the other way ends with it
+
+    def close(self) -> None:
+        for server in self.servers:
+            server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+
+
 def sender_socket() -> socket.socket:
     """Of somebody who belongs to nobody: for noise."""
     return socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
--- a/plankroute/lab/processes.py
+++ b/plankroute/lab/processes.py
@@ -19,10 +19,11 @@
 
 from plankroute.lab.faults import SECOND, Act, Script, Step
 from plankroute.lab.history import Done, Entry, History
-from plankroute.lab.links import Address, Links
+from plankroute.lab.links import Address, Links, Streams
 from plankroute.net.service import OWN_FILE
 
 REAL_PORT, KNOWN_PORT, STREAM_PORT = 7946, 7947, 7948
+LINK_PORT, PEER_PORT = 7950, 7951  # of links between stewards: where they listen, and where others reach them
 NOWHERE = "127.0.0.1:9"  # no discovery: the list that is handed over is all there is
 SIGNALS = {Act.KILL: signal.SIGKILL, Act.PAUSE: signal.SIGSTOP, Act.RESUME: signal.SIGCONT,
            Act.LEAVE: signal.SIGTERM}
@@ -54,6 +55,8 @@
     told: dict[str, Any] = {}  # instead of the usual words of the configuration
     settings: dict[str, Any] = {}  # and of its settings
     is_bare: bool = False  # without our own file
+    has_members: bool = True  # with a membership section
+    has_links: bool = False  # and links between stewards
     is_gated: bool = False  # all processes wait, and start at one moment
 
 
@@ -62,6 +65,7 @@
         self.plan, self.history = plan, History(plan.members)
         self.real, self.known = self.addresses(REAL_PORT), self.addresses(KNOWN_PORT)
         self.links = Links(self.real, self.known, plan.script, self.script_us)
+        self.streams = Streams(self.addresses(LINK_PORT), self.addresses(PEER_PORT), plan.script, self.script_us)
         self.places = {self.name(member): member for member in reversed(range(plan.members))}
         self.running: dict[int, asyncio.subprocess.Process] = {}
         self.lines: list[deque[dict[str, Any]]] = [deque(maxlen=KEPT_LINES) for _ in range(plan.members)]
@@ -91,8 +95,14 @@
     def own_file(self, member: int) -> dict[str, Any]:
         host = self.real[member][0]
         seeds = [f"{self.known[seed][0]}:{KNOWN_PORT}" for seed in self.plan.seeds if seed < self.plan.members]
-        return {"membership": {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{KNOWN_PORT}",
-                               "seeds": seeds, **self.plan.own}, **self.plan.more}
+        own: dict[str, Any] = {**self.plan.more}
+        if self.plan.has_members:
+            own["membership"] = {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{KNOWN_PORT}",
+                                 "seeds": seeds, **self.plan.own}
+        if self.plan.has_links:
+            own["coldstart"] = {**own["coldstart"], "links": {"listen": f"{host}:{LINK_PORT}", "port": PEER_PORT,
+                                                              **own["coldstart"].get("links", {})}}
+        return own
 
     def configuration(self, member: int) -> dict[str, Any]:
         settings = {**SETTINGS, "zone": member % 3, "rank": member, "instances": self.plan.members}
@@ -214,4 +224,5 @@
         for task in list(self.tasks):
             task.cancel()
         self.links.close()
+        self.streams.close()
         self.folder.cleanup()
--- a/plankroute/membership/views.py
+++ b/plankroute/membership/views.py
@@ -29,6 +29,7 @@
         self.gone_places = set[int]()  # told gone: they may come back
         self.suspected_places = set[int]()  # whose record is suspected
         self.drawable: list[int] | None = None  # the living in order, until somebody comes or goes
+        self.version = 0  # rises when somebody comes or goes
         self.add(own, 0)
 
     def __len__(self) -> int:
@@ -76,6 +77,7 @@
         if (place in self.living_places) is (is_living := place > 0 and standing < Standing.GONE):
             return
         self.drawable = None
+        self.version += 1
         (self.living_places.add if is_living else self.living_places.discard)(place)
 
     def living(self) -> list[int]:
--- a/plankroute/net/extras.py
+++ b/plankroute/net/extras.py
@@ -4,7 +4,9 @@
 from typing import Any
 
 from plankroute.coldstart.calls import CallFacts
+from plankroute.coldstart.follow import FollowFacts
 from plankroute.interface import notes
+from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
 from plankroute.net.boot import Boot
 from plankroute.net.careful import CarefulDiscovery
@@ -27,8 +29,17 @@
         """Takes what a Discovery takes."""
         if (part := self.own.coldstart) is None:
             return Discovery(*words)
-        self.careful = CarefulDiscovery(*words)
-        self.careful.prepare(call_facts(part, self.boot), int(part.list_old_s * 1e6), self.boot.seed)
+        calls, seed = call_facts(part, self.boot), self.boot.seed
+        if part.links is None or self.members is None:
+            self.careful = CarefulDiscovery(*words)
+        else:
+            from plankroute.net.shared import SharedDiscovery
+            self.careful = shared = SharedDiscovery(*words)
+            facts = FollowFacts(self.me.name, self.members.part.group, calls.stewards, part.links.watchers,
+                                part.links.stall_ms * 1000)
+            port = part.links.port or host_and_port(part.links.listen)[1]
+            shared.prepare_links(self.members, facts, part.links.listen, port, calls, seed)
+        self.careful.prepare(calls, int(part.list_old_s * 1e6), seed)
         return self.careful
 
     def start(self) -> None:
--- /dev/null
+++ b/plankroute/net/links.py
@@ -0,0 +1,214 @@
+"""Links between stewards, over TCP: lists handed on in order and resumed where they broke, beats, probes' results.
+
+Sockets and bounds only; whom to follow is `coldstart.follow`'s to decide."""
+
+import asyncio
+import socket
+from collections.abc import Callable
+from typing import Protocol
+from zlib import crc32
+
+from plankroute.coldstart.frames import (PART_BYTES, VERSION, Beat, Begin, Frame, FrameCutter, Hello, Part, Probed,
+                                         write_frame)
+from plankroute.coldstart.lists import HeldList
+from plankroute.net.address import host_and_port
+from plankroute.net.book import Book
+
+BEAT_S = 0.5  # between beats: four in the shortest time after which somebody is left
+HELLO_S, DIAL_S = 2.0, 1.0
+STUCK_S = 5.0  # for one part to be taken by the kernel: three of them in the stall of who reads it
+MOST_LINKS = 512  # taken at once: two of each of 300 stewards spread over three watchers, and more than twice that
+WAITING_BYTES = 65536  # for the kernel: a part being written, and the next
+READ_AT_ONCE = 65536
+MOST_RESULTS = 256  # of probes in one frame
+
+
+class Owner(Protocol):
+    """Who has the links: `net.shared`."""
+
+    group: str
+    name: str
+    book: Book
+    held: HeldList
+
+    def age_us(self) -> int: ...
+    def heard_results(self, frame: Probed) -> None: ...
+
+
+class Served:
+    """One that follows this steward."""
+
+    def __init__(self, writer: asyncio.StreamWriter, hello: Hello) -> None:
+        self.writer, self.hello = writer, hello
+        self.revision, self.partial = hello.revision, hello.partial
+        self.wake = asyncio.Event()
+        self.results: list[tuple[str, str, int, int, float]] = []
+
+
+class LinkServer:
+    def __init__(self, owner: Owner) -> None:
+        self.owner, self.server = owner, None
+        self.served: dict[Served, None] = {}
+        self.taken = 0
+
+    async def open(self, address: str) -> None:
+        """Raises OSError."""
+        listening = socket.socket()
+        try:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            listening.bind(host_and_port(address))
+            self.server = await asyncio.start_server(self.serve, sock=listening, backlog=MOST_LINKS)
+        except OSError:
+            listening.close()
+            raise
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+        for served in list(self.served):
+            served.writer.transport.abort()
+
+    def changed(self) -> None:
+        for served in self.served:
+            served.wake.set()
+
+    def share(self, results: list[tuple[str, str, int, int, float]], but: Served | None = None) -> None:
+        for served in self.served:
+            if served is not but:
+                served.results = (served.results + results)[-MOST_RESULTS:]
+                served.wake.set()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        book, served = self.owner.book, None
+        self.taken += 1
+        try:
+            if self.taken > MOST_LINKS:
+                book.count("links.dropped.full")
+                return
+            cutter = FrameCutter()
+            if (hello := await self.hello(reader, cutter)) is None:
+                book.count("links.dropped.hello")
+                return
+            writer.transport.set_write_buffer_limits(high=WAITING_BYTES)
+            served = Served(writer, hello)
+            self.served[served] = None
+            book.count("links.served")
+            reading = asyncio.create_task(self.read(reader, cutter, served))
+            try:
+                await self.give(served, reading)
+            finally:
+                reading.cancel()
+        except (OSError, TimeoutError) as error:
+            book.count("links.dropped.stuck" if isinstance(error, TimeoutError) else "links.broke")
+        except asyncio.CancelledError:
+            pass  # the steward ends: nobody waits for this task
+        finally:
+            self.taken -= 1
+            if served:
+                self.served.pop(served, None)
+            writer.transport.abort()
+
+    async def hello(self, reader: asyncio.StreamReader, cutter: FrameCutter) -> Hello | None:
+        """Guards against strangers, other versions and other groups: they have said nothing of use by then."""
+        async with asyncio.timeout(HELLO_S):
+            frames: list[Frame | None] = []
+            while not frames:
+                if not (data := await reader.read(READ_AT_ONCE)):
+                    return None
+                frames = cutter.feed(data)
+        first = frames[0]
+        good = isinstance(first, Hello) and first.version == VERSION and first.group == self.owner.group
+        return first if good else None  # type: ignore[return-value]
+
+    async def read(self, reader: asyncio.StreamReader, cutter: FrameCutter, served: Served) -> None:
+        while data := await reader.read(READ_AT_ONCE):
+            for frame in cutter.feed(data):
+                if not isinstance(frame, Probed):
+                    return
+                self.owner.heard_results(frame)
+                self.share(list(frame.results[:MOST_RESULTS]), served)
+
+    async def give(self, served: Served, reading: asyncio.Task[None]) -> None:
+        """Lists as they change, beats in between, until the other end goes."""
+        while not reading.done():
+            held = self.owner.held
+            served.wake.clear()
+            if not served.hello.light and held.revision >= 0 and served.revision != held.revision:
+                await self.give_list(served, held)
+            if served.results:
+                results, served.results = served.results, []
+                await self.write(served, Probed(tuple(results)))
+            await self.write(served, Beat(held.revision, self.owner.age_us()))
+            try:
+                async with asyncio.timeout(BEAT_S):
+                    await served.wake.wait()
+            except TimeoutError:
+                pass
+
+    async def give_list(self, served: Served, held: HeldList) -> None:
+        """Changes, if they are all known; else the whole list, from where it had broken off."""
+        data, is_whole = held.since(served.revision), False
+        if data is None:
+            data, is_whole = held.whole(), True
+        check, offset, revision = crc32(data), 0, held.revision
+        if is_whole and served.partial and served.partial[:2] == (revision, check):
+            offset = min(served.partial[2], len(data))
+            self.owner.book.count("links.resumed")
+        self.owner.book.count("links.lists" if is_whole else "links.changes")
+        served.partial = None
+        await self.write(served, Begin(revision, is_whole, len(data), check, offset))
+        for at in range(offset, len(data), PART_BYTES):
+            await self.write(served, Part(data[at:at + PART_BYTES]))
+        served.revision = revision
+
+    async def write(self, served: Served, frame: Frame) -> None:
+        """Raises TimeoutError where the other end takes nothing any more."""
+        data = write_frame(frame)
+        self.owner.book.count("links.sent_bytes", len(data))
+        served.writer.write(data)
+        async with asyncio.timeout(STUCK_S):
+            await served.writer.drain()
+
+
+class LinkClient:
+    """A link to one that is followed, from its dialling to its end."""
+
+    def __init__(self, owner: Owner, name: str, address: tuple[str, int], own_host: str, hello: Hello,
+                 hear: Callable[[str, Frame], str | None], end: Callable[["LinkClient", str], None]) -> None:
+        self.owner, self.name, self.address, self.hello = owner, name, address, hello
+        self.hear, self.end = hear, end
+        self.own_host = own_host  # from the address at which others know this steward
+        self.writer: asyncio.StreamWriter | None = None
+        self.task = asyncio.create_task(self.run())
+
+    async def run(self) -> None:
+        why = "ended"
+        try:
+            async with asyncio.timeout(DIAL_S):
+                reader, self.writer = await asyncio.open_connection(*self.address, local_addr=(self.own_host, 0))
+            self.writer.transport.set_write_buffer_limits(high=WAITING_BYTES)
+            self.writer.write(write_frame(self.hello))
+            cutter = FrameCutter()
+            while data := await reader.read(READ_AT_ONCE):
+                for frame in cutter.feed(data):
+                    if (objection := self.hear(self.name, frame) if frame else "unreadable"):
+                        why = objection
+                        return
+        except (OSError, TimeoutError) as error:
+            why = f"{type(error).__name__}: {error}".strip(": ")
+        except asyncio.CancelledError:
+            why = ""  # hung up: nobody needs to hear
+        finally:
+            if self.writer:
+                self.writer.transport.abort()
+            if why:
+                self.end(self, why)
+
+    def say(self, frame: Frame) -> None:
+        """Dropped where the link is not up, or holds too much already."""
+        if self.writer and not self.writer.is_closing() and (
+                self.writer.transport.get_write_buffer_size() < WAITING_BYTES):
+            self.writer.write(write_frame(frame))
+
+    def hang(self) -> None:
+        self.task.cancel()
--- /dev/null
+++ b/plankroute/net/shared.py
@@ -0,0 +1,234 @@
+"""Discovery shared among stewards: a few watch the list service, the others take lists from them over links.
+
+Who and whom is `coldstart.follow`'s to decide; here its actions meet sockets, log lines and counters."""
+
+import asyncio
+import traceback
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from plankroute.coldstart.calls import Began, CallFacts, Caller, Event
+from plankroute.coldstart.follow import (BEAT_US, Action, BeatDue, Dial, Ended, Follow, FollowFacts, Hang, Holds,
+                                         Living, Moved, Noted, Said, Watch)
+from plankroute.coldstart.follow import Event as FollowEvent
+from plankroute.coldstart.frames import VERSION, Beat, Begin, Frame, Hello, Part, Probed
+from plankroute.coldstart.lists import HeldList, Incoming
+from plankroute.net.address import host_and_port
+from plankroute.net.careful import CarefulDiscovery, now_us
+from plankroute.net.discovery import Discovery
+from plankroute.net.links import LinkClient, LinkServer
+from plankroute.net.members import Members
+
+PLACE_US = 200_000  # between first calls of watchers: the second one finds the list on its way to others already
+OPEN_EVERY_S = 1.0  # between tries for an address that is held
+WARNINGS = frozenset({"left_behind", "left_old", "left_ahead", "left_stalled", "began_anew", "on_its_own"})
+
+
+class SharedDiscovery(CarefulDiscovery):
+    """Needs membership; `prepare_links` before `start`."""
+
+    def prepare_links(self, members: Members, facts: FollowFacts, listen: str, port: int, call: CallFacts,
+                      seed: int) -> None:
+        self.members, self.roles, self.listen, self.port = members, Follow(facts), listen, port
+        self.name, self.group, self.call_facts, self.seed = facts.name, facts.group, call, seed
+        self.held, self.server = HeldList(), LinkServer(self)
+        self.clients: dict[str, LinkClient] = {}
+        self.incoming: dict[str, Incoming] = {}
+        self.partial: Incoming | None = None  # what has come of a whole list, wherever it goes on
+        self.anew = set[str]()
+        self.calling: asyncio.Task[None] | None = None
+        self.serving: asyncio.Task[None] | None = None
+        self.version = -1
+        self.on_results: Callable[[Probed], None] = lambda frame: None
+
+    def start(self, known: Any) -> None:
+        super().start(known)
+        self.serving = asyncio.create_task(self.serve())
+
+    def close(self) -> None:
+        for task in (self.calling, self.serving):
+            if task:
+                task.cancel()
+        for client in self.clients.values():
+            client.hang()
+        self.server.close()
+        super().close()
+
+    async def serve(self) -> None:
+        """Guards against an address that the process before still holds."""
+        while True:
+            try:
+                await self.server.open(self.listen)
+                break
+            except OSError as error:
+                self.book.say_once("links_address_held", address=self.listen, why=str(error))
+                await asyncio.sleep(OPEN_EVERY_S)
+        self.book.log.event("info", "links_open", address=self.listen)
+
+    async def watch_always(self) -> None:
+        """The beats of who follows whom; calls to the service are a task of their own."""
+        while True:
+            events: list[FollowEvent] = [BeatDue()]
+            view = self.members.core.view
+            if view.version != self.version:
+                self.version = view.version
+                events.append(Living(frozenset(view.at(place).name for place in view.living())))
+            self.work(events)
+            await asyncio.sleep(BEAT_US / 1e6)
+
+    def work(self, events: list[FollowEvent]) -> None:
+        """An error of ours is logged with its place, and must not leave the steward without beats."""
+        try:
+            for action in self.roles.deliver(now_us(), events):
+                self.carry_out(action)
+        except Exception as error:
+            place = traceback.extract_tb(error.__traceback__)[-1]
+            self.book.count("follow.failed")
+            self.book.log.event("error", "follow_failed", why=f"{type(error).__name__}: {error}",
+                                place=f"{place.name}:{place.lineno}")
+
+    def carry_out(self, action: Action) -> None:
+        match action:
+            case Dial():
+                self.dial(action)
+            case Hang(name):
+                self.hang(name)
+            case Watch(on, place):
+                if self.calling:
+                    self.calling.cancel()
+                self.calling = asyncio.create_task(self.calls(place)) if on else None
+            case Noted(what, name):
+                self.book.count(f"follow.{what}")
+                level = "warning" if what in WARNINGS else "info"
+                self.book.log.event(level, f"follow_{what}", other=name, revision=self.held.revision)
+
+    async def calls(self, place: int | None) -> None:
+        """To the service: a watcher at once, and in rounds of the few watchers; else as everybody alone."""
+        caller = self.caller
+        event: Event = Began()
+        if place is not None:
+            caller = Caller(CallFacts(place, self.roles.facts.watchers, self.call_facts.calls_a_second,
+                                      self.call_facts.pause_most_us, self.call_facts.retry_after_most_us), self.seed)
+            await asyncio.sleep(place * PLACE_US / 1e6)
+            event = await self.call_once()
+        await self.call_on(caller, event)
+
+    async def call_on(self, caller: Caller, event: Event) -> None:
+        while True:
+            due_us = caller.deliver(now_us(), event).due_us
+            await asyncio.sleep(max(0, due_us - now_us()) / 1e6)
+            event = await self.call_once()
+
+    # What the service and others say
+
+    def take(self, text: bytes) -> bool:
+        """The service's own word."""
+        if not super().take(text):
+            return False
+        self.believe(text, by_service=True)
+        return True
+
+    def believe(self, text: bytes, by_service: bool) -> None:
+        self.held.take(orjson.loads(text))
+        self.server.changed()
+        self.work([Holds(self.held.revision, by_service)])
+
+    def take_from(self, name: str, text: bytes) -> str | None:
+        """A list from another steward; why it is refused, if so. A lower revision never replaces a higher one,
+        but where the service began anew, as two that are followed say."""
+        try:
+            revision = orjson.loads(text)["rev"]
+        except (ValueError, KeyError, TypeError):
+            return "no list"
+        if not isinstance(revision, int) or (revision < self.held.revision and name not in self.anew):
+            self.book.count("links.dropped.lower")
+            return "lower revision"
+        self.anew.discard(name)
+        if not Discovery.take(self, text):
+            return "no list"
+        self.believe(text, by_service=False)
+        return None
+
+    def age_us(self) -> int:
+        """How old the service's word is here, be it by way of others."""
+        return now_us() - self.heard_us if self.held.revision >= 0 else 1 << 40
+
+    def hear_frame(self, name: str, frame: Frame) -> str | None:
+        """Why the link is of no more use, if so."""
+        incoming = self.incoming.setdefault(name, Incoming(self.limits.most_body))
+        objection: str | None = None
+        match frame:
+            case Begin(revision, whole, size, check, offset):
+                if offset and self.partial:
+                    incoming, self.incoming[name] = self.partial, self.partial
+                objection = incoming.begin(revision, whole, size, check, offset)
+                self.work([Moved(name)])
+            case Part(data):
+                self.work([Moved(name)])
+                text, objection = incoming.add(data)
+                if text is not None:
+                    objection = self.take_from(name, text)
+            case Beat(revision, age_us):
+                if not self.roles.is_watching:
+                    self.heard_us = max(self.heard_us, now_us() - age_us)
+                    self.mend_age()
+                self.work([Said(name, revision, age_us)])
+            case Probed():
+                self.heard_results(frame)
+            case _:
+                objection = "not for this side"
+        if objection:
+            self.book.count("links.objected")
+            self.book.log.event("warning", "link_objected", other=name, why=objection)
+        return objection
+
+    def mend_age(self) -> None:
+        if self.is_old and now_us() - self.heard_us < self.list_old_us:
+            self.is_old = False
+            self.book.log.event("info", "list_fresh", revision=self.revision)
+
+    def heard_results(self, frame: Probed) -> None:
+        self.on_results(frame)
+
+    # Links
+
+    def dial(self, wanted: Dial) -> None:
+        view = self.members.core.view
+        place = view.index.get(wanted.name)
+        if place is None:
+            return self.work([Ended(wanted.name)])
+        address = host_and_port(view.at(place).address)[0], self.port
+        if wanted.anew:
+            self.anew.add(wanted.name)
+        partial = self.partial.partial() if self.partial and not wanted.light else None
+        revision = -1 if wanted.anew else self.held.revision
+        hello = Hello(VERSION, self.group, self.name, revision, wanted.light, partial)
+        self.clients[wanted.name] = LinkClient(self, wanted.name, address, host_and_port(self.listen)[0], hello,
+                                               self.hear_frame, self.ended)
+
+    def ended(self, client: LinkClient, why: str) -> None:
+        if self.clients.get(client.name) is client:
+            self.book.count("links.ended")
+            self.forget(client.name)
+            self.work([Ended(client.name)])
+
+    def hang(self, name: str) -> None:
+        if client := self.clients.get(name):
+            client.hang()
+            self.forget(name)
+
+    def forget(self, name: str) -> None:
+        """What had come of a whole list is kept for the next one."""
+        del self.clients[name]
+        incoming = self.incoming.pop(name, None)
+        if incoming and incoming.partial():
+            self.partial = incoming
+
+    def tell_results(self, frame: Probed) -> None:
+        """To those that are followed, and to those that follow."""
+        for client in self.clients.values():
+            client.say(frame)
+        self.server.share(list(frame.results))
+
--- a/plankroute/ownfile.py
+++ b/plankroute/ownfile.py
@@ -39,6 +39,17 @@
         ge=60, le=86_400, description="how long those gone or left are remembered and called")] = 3600
 
 
+class LinksPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """The list through peers: a few stewards watch the list service, the others take it from them over TCP."""
+
+    listen: Annotated[Address, msgspec.Meta(description="TCP address of this steward, for other stewards")]
+    port: Annotated[Annotated[int, msgspec.Meta(ge=1, le=65535)] | None, msgspec.Meta(
+        description="at which all others are reached, beside their membership addresses; else `listen`'s")] = None
+    watchers: Annotated[int, msgspec.Meta(ge=1, le=16, description="of the list service, at any time")] = 3
+    stall_ms: Annotated[int, msgspec.Meta(
+        ge=1000, le=60_000, description="without a word from who is followed, it is left for the next")] = 2000
+
+
 class ColdStartPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A start of many stewards at once that spares the list service and the hosts (docs/coldstart.md)."""
 
@@ -54,6 +65,7 @@
         ge=0, le=3600, description="what a Retry-After may ask for at most")] = 30.0
     list_old_s: Annotated[float, msgspec.Meta(
         ge=1, le=3600, description="without a word from the list for so long, drains may have been missed: said")] = 15.0
+    links: LinksPart | None = None
 
 
 class OwnFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -87,17 +99,21 @@
 
 
 def check_addresses(own: OwnFile) -> None:
-    """A port out of its range passes the pattern."""
-    if (part := own.membership) is None:
-        return
-    named = {"listen": part.listen, "advertise": part.advertise}
-    named |= {f"seeds[{place}]": seed for place, seed in enumerate(part.seeds)}
+    """A port out of its range passes the pattern; and links go to those that membership knows."""
+    named: dict[str, str | None] = {}
+    if part := own.membership:
+        named |= {"membership.listen": part.listen, "membership.advertise": part.advertise}
+        named |= {f"membership.seeds[{place}]": seed for place, seed in enumerate(part.seeds)}
+    if own.coldstart and (links := own.coldstart.links):
+        named["coldstart.links.listen"] = links.listen
+        if own.membership is None:
+            raise msgspec.ValidationError("needs a membership section - at `$.coldstart.links`")
     for key, address in named.items():
         try:
             if address is not None:
                 host_and_port(address)
         except ValueError as error:
-            raise msgspec.ValidationError(f"{error} - at `$.membership.{key}`") from error
+            raise msgspec.ValidationError(f"{error} - at `$.{key}`") from error
 
 
 def plain(said: str) -> str:
