Cold start through peers: watchers killed, paused, cut, partitions, lies, a second power cut

Need: the list through peers has to bear what the cold start meets. Cause found on the way: followers that were being handed 1 MB over 50 KB/s had no word for three seconds and all called the service (10 calls); the witness alone stayed light; lists not there yet counted as old.

--- a/plankroute/coldstart/follow.py
+++ b/plankroute/coldstart/follow.py
@@ -18,6 +18,7 @@
 OLD_US = 5 * SECOND_US  # behind the others' word: it is cut off from the service
 DIFFER_US = 2 * SECOND_US  # two that are followed have different revisions: beyond what is on its way
 ALONE_US = 3 * SECOND_US  # without anybody to follow, before the service itself is called
+SLOW_US = 60 * SECOND_US  # a first list that takes longer never ends: 3 MB on a link of 50 KB/s
 LATER_US = 2 * SECOND_US  # a watcher that is none any more goes on for so long: the next one comes up meanwhile
 BEAT_US = SECOND_US // 10
 
@@ -134,6 +135,8 @@
 
     light: bool
     moved_us: int
+    since_us: int
+    is_moving: bool = False  # frames have come, though it has not said yet what it holds
     revision: int | None = None
     age_us: int = 0
     said_us: int = 0
@@ -176,7 +179,7 @@
                 group = self.facts.group
                 self.watchers = ranked({*names, self.facts.name}, group)[:self.facts.watchers]
             case Moved(name) if name in links:
-                links[name].moved_us = now_us
+                links[name].moved_us, links[name].is_moving = now_us, True
             case Said(name, revision, age_us) if name in links:
                 link = links[name]
                 link.moved_us = link.said_us = now_us
@@ -240,6 +243,8 @@
                 self.drop(name)
             elif now_us - link.moved_us > self.facts.stall_us:
                 self.leave(now_us, name, "stalled")
+            elif link.revision is None and now_us - link.since_us > SLOW_US:
+                self.leave(now_us, name, "slow")
         self.compare(now_us)
         self.fill(now_us)
         self.choose_service(now_us)
@@ -252,7 +257,7 @@
         for light in (False, True):
             free = [name for name in mine if name not in links]
             if free and not any(link.light is light for link in links.values()):
-                links[free[0]] = Link(light, now_us)
+                links[free[0]] = Link(light, now_us, now_us)
                 self.out.append(Dial(free[0], light))
         if not any(not link.light for link in links.values()):
             for name, link in list(links.items())[:1]:  # the witness alone is left: its lists are wanted now
@@ -260,7 +265,7 @@
 
     def dial_anew(self, now_us: int, name: str, anew: bool) -> None:
         self.drop(name)
-        self.state.links[name] = Link(False, now_us, anew=anew)
+        self.state.links[name] = Link(False, now_us, now_us, anew=anew)
         self.out.append(Dial(name, False, anew))
 
     def compare(self, now_us: int) -> None:
@@ -290,7 +295,7 @@
                     self.leave(now_us, main, "behind")
                 else:
                     self.is_asking = True
-        elif one.revision is not None and one.revision < self.revision and not self.is_lower(one):
+        elif one.revision is not None and 0 <= one.revision < self.revision and not self.is_lower(one):
             self.leave(now_us, main, "old")  # cut off from the service, and behind what is held
         else:
             self.differs_us = None
@@ -306,7 +311,7 @@
 
     def choose_service(self, now_us: int) -> None:
         """The service itself, where nobody can be followed, or two say what can't both be true."""
-        has_word = any(link.revision is not None and link.revision >= 0 and not link.light
+        has_word = any(not link.light and (link.is_moving if link.revision is None else link.revision >= 0)
                        for link in self.state.links.values())
         self.without_us = now_us if has_word else self.without_us
         if self.demoted_us is not None and now_us - self.demoted_us >= LATER_US and has_word:
--- a/plankroute/lab/cold.py
+++ b/plankroute/lab/cold.py
@@ -48,7 +48,7 @@
     own = {"calls_a_second": case.behaviour.rate, **case.own}
     return Plan(case.stewards, case.script, case.net, is_bare=case.way == "today", is_gated=True,
                 more={"coldstart": own}, told={"discovery": service, "known": None}, has_links=case.way == "peers",
-                has_members=case.way == "peers")
+                has_members=case.way == "peers", is_direct=case.script == Script(1))
 
 
 class ColdStart:
@@ -59,15 +59,22 @@
         targets = [target(host, f"127.0.0.1:{9 + host % 2}") for host in range(case.hosts)]
         self.service = ListService(targets, case.behaviour)
         self.fleet: Fleet | None = None
+        self.absent: tuple[int, ...] = ()  # started later, by whoever looks on
+        self.detours: dict[int, Any] = {}  # by member, what stands between it and the service
 
     async def begin(self) -> "ColdStart":
         address = await self.service.open(f"127.250.{self.case.net}.1")
         self.fleet = Fleet(plan_of(self.case, address))
-        if self.fleet.plan.has_members:
+        for detour in set(self.detours.values()):
+            detour.address = address
+            where = await detour.open(f"127.250.{self.case.net}.2")
+            self.fleet.instead = {member: {"discovery": where} for member in self.detours}
+        if self.fleet.plan.has_members and not self.fleet.plan.is_direct:
             await self.fleet.links.open()
             await self.fleet.streams.open()
         for member in range(self.case.stewards):
-            await self.fleet.start(member)
+            if member not in self.absent:
+                await self.fleet.start(member)
         await self.fleet.open_gate()
         self.service.begin()
         if self.case.script.rules or self.case.script.steps:
@@ -78,7 +85,8 @@
         """By steward, when it first had a list of all hosts."""
         assert self.fleet
         return [next((line["at_us"] for line in lines if line.get("event") == "list" and line.get("kind") == "full"
-                      and line.get("revision", 0) > 0), None) for lines in self.fleet.lines]
+                      and line.get("revision", 0) > 0), None)
+                for member, lines in enumerate(self.fleet.lines) if member not in self.absent]
 
     async def until(self, holds: Callable[[], bool]) -> bool:
         assert self.fleet
@@ -101,6 +109,8 @@
         assert self.fleet
         ticks = 0
         for process in self.fleet.running.values():
+            if process.returncode is not None:
+                continue
             with open(f"/proc/{process.pid}/stat") as file:
                 ticks += sum(int(figure) for figure in file.read().rpartition(")")[2].split()[11:13])
         return ticks / 100 / len(self.fleet.running)
--- /dev/null
+++ b/plankroute/lab/coldcases.py
@@ -0,0 +1,289 @@
+"""Hard cases of a cold start through peers: watchers that fail, partitions, drains, lies; judged by what was seen."""
+
+import asyncio
+import random
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+
+from plankroute.coldstart.follow import ranked
+from plankroute.coldstart.frames import VERSION, Beat, Begin, Hello, Part, write_frame
+from plankroute.lab.cold import Case, ColdStart
+from plankroute.lab.faults import SECOND, Act, Rule, Script, Step, partition, pauses
+from plankroute.lab.listservice import Behaviour
+from plankroute.lab.processes import LINK_PORT
+
+STEWARDS, WATCHERS = 10, 3
+LARGE = 8000  # hosts: a list of 1 MB
+SLOW = 50_000.0  # bytes a second on a link
+LIMIT_S = 60.0
+Play = Callable[[ColdStart], Awaitable[list[str]]]
+
+
+class ColdCase(msgspec.Struct, frozen=True):
+    """`script` from the watchers' places; `play` goes on once all have started, and says what is wrong."""
+
+    play: Play
+    script: Callable[[list[int]], Script] = lambda watchers: Script(1, (Rule(),))
+    hosts: int = 500
+    behaviour: Behaviour = Behaviour()
+    absent: tuple[int, ...] = ()
+
+
+def watchers(stewards: int = STEWARDS) -> list[int]:
+    """Places of those that watch, as all members find them."""
+    return [int(name[1:]) for name in ranked([f"n{member:04d}" for member in range(stewards)], "lab")[:WATCHERS]]
+
+
+def others(places: list[int], stewards: int = STEWARDS) -> list[int]:
+    return [member for member in range(stewards) if member not in places]
+
+
+def revisions(start: ColdStart) -> list[int]:
+    """By steward, of the newest list that it told of."""
+    assert start.fleet
+    return [max((line["revision"] for line in lines if line.get("event") == "list"), default=-1)
+            for lines in start.fleet.lines]
+
+
+def hold(start: ColdStart, members: list[int], revision: int) -> bool:
+    held = revisions(start)
+    return all(held[member] >= revision for member in members)
+
+
+async def wanted(start: ColdStart, what: str, holds: Callable[[], bool]) -> list[str]:
+    return [] if await start.until(holds) else [f"{what} did not come within {start.case.limit_s:.0f} s"]
+
+
+async def all_serve(start: ColdStart) -> list[str]:
+    return await wanted(start, "a list for all", lambda: None not in start.served_us())
+
+
+def seconds_until(start: ColdStart, members: list[int], revision: int, since_us: int) -> float:
+    """After which the last of them told of the revision."""
+    assert start.fleet
+    return max(min(line["at_us"] for line in start.fleet.lines[member] if line.get("event") == "list"
+                   and line["revision"] >= revision) - since_us for member in members) / SECOND
+
+
+async def good(start: ColdStart) -> list[str]:
+    """All serve, few calls; then a drain reaches everybody, and a late steward joins without a further call."""
+    assert start.fleet
+    out = await all_serve(start)
+    if start.service.calls > 12:
+        out.append(f"{start.service.calls} calls")
+    begun_us = start.fleet.now_us()
+    start.service.change(7, state="DRAINING")
+    out += await wanted(start, "a drain", lambda: hold(start, list(range(STEWARDS - 1)), 1001))
+    took_s = seconds_until(start, list(range(STEWARDS - 1)), 1001, begun_us) if not out else 99.0
+    calls, late = start.service.calls, STEWARDS - 1
+    begun_us = start.fleet.now_us()
+    await start.fleet.start(late)
+    out += await wanted(start, "the late one's list", lambda: hold(start, [late], 1001))
+    late_s = seconds_until(start, [late], 1001, begun_us) if not out else 99.0
+    out += [f"a drain took {took_s:.2f} s"] * (took_s > 1.0)
+    out += [f"the late one called ({start.service.calls - calls})"] * (start.service.calls > calls)
+    return out + [f"the late one took {late_s:.2f} s"] * (late_s > 2.0)
+
+
+async def drained_meanwhile(start: ColdStart) -> list[str]:
+    """The watchers fail as the script has it, while the list is handed out; a host begins to drain."""
+    assert start.fleet
+    await asyncio.sleep(3.0)
+    start.service.change(7, state="DRAINING")
+    rest = [member for member in range(STEWARDS) if not any(
+        done.member == member and done.act == Act.KILL.value for done in start.fleet.history.done)]
+    return await wanted(start, "the drain for all that live", lambda: hold(start, rest, 1001))
+
+
+async def parted(start: ColdStart) -> list[str]:
+    """The smaller side has no way to the service: goes on and says so; has the newest soon after the heal."""
+    assert start.fleet
+    out = await all_serve(start)
+    fleet, small = start.fleet, small_side()
+    await start.until(lambda: (fleet.script_us() or 0) > 20 * SECOND)
+    start.service.change(7, state="DRAINING")
+    said = {member for member in small for line in fleet.lines[member] if line.get("event") == "list_old"}
+    await start.until(lambda: (fleet.script_us() or 0) > 32 * SECOND)
+    if hold(start, small[:1], 1001):
+        out.append("the cut side heard of the change: the trial shows nothing")
+    said = {member for member in small for line in fleet.lines[member] if line.get("event") == "list_old"}
+    out += [f"said list_old: {sorted(said)} of {small}"] * (said != set(small))
+    healed_us = fleet.at(34.0)
+    out += await wanted(start, "the newest list", lambda: hold(start, list(range(STEWARDS)), 1001))
+    took_s = seconds_until(start, small, 1001, healed_us) if not out else 0.0
+    return out + [f"the newest list took {took_s:.2f} s after the heal"] * (took_s > 3.0)
+
+
+def small_side() -> list[int]:
+    return [watchers()[2], *others(watchers())[:2]]
+
+
+async def twice(start: ColdStart) -> list[str]:
+    """Power fails again ten seconds into the start."""
+    assert start.fleet
+    out = await all_serve(start)
+    fleet, calls = start.fleet, start.service.calls
+    for process in list(fleet.running.values()):
+        process.kill()
+    for process in list(fleet.running.values()):
+        await process.wait()
+    for lines in fleet.lines:
+        lines.clear()
+    for member in range(STEWARDS):
+        await fleet.start(member)
+    out += await all_serve(start)
+    return out + [f"{start.service.calls - calls} calls again"] * (start.service.calls - calls > 12)
+
+
+async def began_anew(start: ColdStart) -> list[str]:
+    """The service restarts with revisions that begin anew; everybody follows, and lower ones are believed then."""
+    assert start.fleet
+    out = await all_serve(start)
+    start.service.change(7, state="DRAINING")
+    out += await wanted(start, "a change", lambda: hold(start, list(range(STEWARDS)), 1001))
+    start.service.restart()
+    start.service.change(8, state="DRAINING")
+    fleet = start.fleet
+
+    def followed() -> bool:
+        return all([line["revision"] for line in lines if line.get("event") == "list"][-1] == 2 for lines in fleet.lines)
+    return out + await wanted(start, "the list that began anew", followed)
+
+
+async def lied_to(start: ColdStart) -> list[str]:
+    """A watcher of ours is replaced by one that claims revisions, sends what is too large, or never ends."""
+    assert start.fleet
+    out = await all_serve(start)
+    fleet, liar = start.fleet, watchers()[0]
+    fleet.running[liar].send_signal(9)
+    await fleet.running[liar].wait()
+    server = await asyncio.start_server(Liar(fleet.plan.script.seed).serve, fleet.real[liar][0], LINK_PORT)
+    try:
+        begun_us = fleet.now_us()
+        while fleet.now_us() - begun_us < 3 * SECOND:
+            start.service.change(9, state="DRAINING", boot_ms=1)
+            await asyncio.sleep(0.5)
+        rest = [member for member in range(STEWARDS) if member != liar]
+        newest = start.service.revision
+        out += await wanted(start, "the true list", lambda: all(
+            [line["revision"] for line in fleet.lines[member] if line.get("event") == "list"][-1] == newest
+            for member in rest))
+    finally:
+        server.close()
+    bad = [line for lines in fleet.lines for line in lines if line.get("event") in ("follow_failed", "core_failed")]
+    return out + [str(line) for line in bad]
+
+
+class Liar:
+    """Takes links and says what can't be, another thing to each; bounded in time by its callers."""
+
+    def __init__(self, seed: int) -> None:
+        self.chance = random.Random(seed)
+        self.number = 0
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.number += 1
+        kinds: list[list[bytes]] = [
+            [write_frame(Beat(10**9, 0)), write_frame(Begin(10**9, True, 10**9, 1))],
+            [write_frame(Begin(5, False, 10, 7)), write_frame(Part(b"x" * 11))],
+            [write_frame(Beat(3, 0))],
+            [write_frame(Hello(VERSION, "lab", "x", 1, True)), b"\xff\xff\xff\xff"],
+        ]
+        try:
+            for data in kinds[self.number % len(kinds)]:
+                writer.write(data)
+            for _ in range(200):  # and never ends
+                writer.write(write_frame(Part(b"")))
+                await writer.drain()
+                await asyncio.sleep(0.1)
+        except (OSError, asyncio.CancelledError):
+            pass
+        finally:
+            writer.transport.abort()
+
+
+def slow(*rules: Rule, steps: tuple[Step, ...] = ()) -> Script:
+    return Script(1, (Rule(bytes_a_second=SLOW), *rules), steps)
+
+
+CASES: dict[str, ColdCase] = {
+    "good": ColdCase(good, absent=(STEWARDS - 1,)),
+    "watchers killed": ColdCase(drained_meanwhile, lambda who: slow(
+        steps=tuple(Step(4.0 + place, Act.KILL, member) for place, member in enumerate(who[:2]))), LARGE),
+    "watchers paused": ColdCase(drained_meanwhile, lambda who: slow(
+        steps=pauses(tuple(who), 2.0, 14.0, 1)), LARGE),
+    "watcher cut one way": ColdCase(drained_meanwhile, lambda who: slow(
+        Rule(3.0, 1e6, (who[0],), tuple(others(who)), cut=True)), LARGE),
+    "parted": ColdCase(parted, lambda who: Script(1, partition(
+        (tuple(small_side()), tuple(others(small_side()))), 4.0, 34.0))),
+    "twice": ColdCase(twice),
+    "began anew": ColdCase(began_anew),
+    "lied to": ColdCase(lied_to),
+}
+
+
+class CutService:
+    """Between the service and the small side of a partition: nothing comes through while the script says so."""
+
+    def __init__(self, start: ColdStart, address: str, until_s: float) -> None:
+        self.start, self.address, self.until_s = start, address, until_s
+        self.server: asyncio.Server | None = None
+        self.ends = set[asyncio.StreamWriter]()
+
+    def close(self) -> None:
+        if self.server:
+            self.server.close()
+        for end in list(self.ends):
+            end.transport.abort()
+
+    async def open(self, host: str) -> str:
+        self.server = await asyncio.start_server(self.serve, host, 0)
+        where = self.server.sockets[0].getsockname()
+        return f"{where[0]}:{where[1]}"
+
+    def is_cut(self) -> bool:
+        script_us = self.start.fleet.script_us() if self.start.fleet else None
+        return script_us is not None and 4.0 <= script_us / SECOND < self.until_s
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        far: asyncio.StreamWriter | None = None
+        try:
+            host, _, port = self.address.rpartition(":")
+            far_reader, far = await asyncio.open_connection(host, int(port))
+            self.ends |= {writer, far}
+            far.write(await reader.readuntil(b"\r\n\r\n") if not self.is_cut() else b"")
+            while data := await far_reader.read(65536):
+                while self.is_cut():
+                    await asyncio.sleep(0.05)
+                writer.write(data)
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            for end in (writer, far):
+                if end:
+                    end.transport.abort()
+                    self.ends.discard(end)
+
+
+async def run_cold(name: str, net: int) -> tuple[list[str], dict[str, Any]]:
+    """Objections, and what was seen."""
+    case = CASES[name]
+    start = ColdStart(Case("peers", STEWARDS, case.hosts, case.behaviour, 1, net, LIMIT_S, {"list_old_s": 5.0},
+                           case.script(watchers())))
+    start.absent = case.absent
+    cut = CutService(start, "", 34.0)
+    if name == "parted":
+        start.detours = {member: cut for member in small_side()}
+    try:
+        await start.begin()
+        objections = await case.play(start)
+        assert start.fleet
+        failed = [line for lines in start.fleet.lines for line in lines
+                  if line.get("event") in ("follow_failed", "core_failed", "members_failed", "discovery_failed")]
+        return objections + [str(line) for line in failed[:3]], msgspec.to_builtins(start.seen())
+    finally:
+        await start.close()
+        cut.close()
--- a/plankroute/lab/processes.py
+++ b/plankroute/lab/processes.py
@@ -57,13 +57,15 @@
     is_bare: bool = False  # without our own file
     has_members: bool = True  # with a membership section
     has_links: bool = False  # and links between stewards
+    is_direct: bool = False  # no faulty links in between: for sizes at which they would be what is measured
     is_gated: bool = False  # all processes wait, and start at one moment
 
 
 class Fleet:
     def __init__(self, plan: Plan) -> None:
         self.plan, self.history = plan, History(plan.members)
-        self.real, self.known = self.addresses(REAL_PORT), self.addresses(KNOWN_PORT)
+        self.known_port, self.peer_port = (REAL_PORT, LINK_PORT) if plan.is_direct else (KNOWN_PORT, PEER_PORT)
+        self.real, self.known = self.addresses(REAL_PORT), self.addresses(self.known_port)
         self.links = Links(self.real, self.known, plan.script, self.script_us)
         self.streams = Streams(self.addresses(LINK_PORT), self.addresses(PEER_PORT), plan.script, self.script_us)
         self.places = {self.name(member): member for member in reversed(range(plan.members))}
@@ -72,6 +74,7 @@
         self.tasks = set[asyncio.Task[None]]()
         self.folder = tempfile.TemporaryDirectory(prefix="plankroute-lab-")
         self.launched_ns, self.began_us = time.monotonic_ns(), -1
+        self.instead: dict[int, dict[str, Any]] = {}  # by member, words of the configuration of its own
         self.gate: tuple[int, ...] = os.pipe() if plan.is_gated else ()
 
     def addresses(self, port: int) -> list[Address]:
@@ -94,13 +97,13 @@
 
     def own_file(self, member: int) -> dict[str, Any]:
         host = self.real[member][0]
-        seeds = [f"{self.known[seed][0]}:{KNOWN_PORT}" for seed in self.plan.seeds if seed < self.plan.members]
+        seeds = [f"{self.known[seed][0]}:{self.known_port}" for seed in self.plan.seeds if seed < self.plan.members]
         own: dict[str, Any] = {**self.plan.more}
         if self.plan.has_members:
-            own["membership"] = {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{KNOWN_PORT}",
+            own["membership"] = {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{self.known_port}",
                                  "seeds": seeds, **self.plan.own}
         if self.plan.has_links:
-            own["coldstart"] = {**own["coldstart"], "links": {"listen": f"{host}:{LINK_PORT}", "port": PEER_PORT,
+            own["coldstart"] = {**own["coldstart"], "links": {"listen": f"{host}:{LINK_PORT}", "port": self.peer_port,
                                                               **own["coldstart"].get("links", {})}}
         return own
 
@@ -108,7 +111,7 @@
         settings = {**SETTINGS, "zone": member % 3, "rank": member, "instances": self.plan.members}
         return {"name": self.name(member), "listen": f"{self.real[member][0]}:{STREAM_PORT}", "discovery": NOWHERE,
                 "seed": f"{member + 1:x}", "limits": {"memory_mb": 192, "sockets": 1024},
-                "known": {"rev": 1, "all": True, "targets": []}, **self.plan.told,
+                "known": {"rev": 1, "all": True, "targets": []}, **self.plan.told, **self.instead.get(member, {}),
                 "settings": {**settings, **self.plan.settings}}
 
     async def start(self, member: int) -> None:
@@ -182,7 +185,8 @@
 
     async def launch(self) -> bool:
         """Links, then all processes that are there from the start, until all know all; False: they did not."""
-        await self.links.open()
+        if not self.plan.is_direct:
+            await self.links.open()
         for member in self.present():
             await self.start(member)
         return await self.until(lambda: self.have_joined(self.present()), JOIN_S)
@@ -220,6 +224,7 @@
         for process in self.running.values():
             if process.returncode is None:
                 process.kill()
+        for process in self.running.values():
             await process.wait()
         for task in list(self.tasks):
             task.cancel()
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -1,11 +1,20 @@
-"""A start of many stewards: when the list service is called, alone; cores first, then real processes."""
+"""A start of many stewards: the list service called alone, then through peers; cores first, then real processes."""
 
 import asyncio
+from collections import Counter
+from zlib import crc32
 
+import orjson
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from plankroute.coldstart.calls import BURST, Began, Broke, CallFacts, Caller, Refused, retry_after_us
+from plankroute.coldstart.follow import Dial, Ended, Follow, FollowFacts, Hang, Holds, Living, Noted, Said, Watch, ranked
+from plankroute.coldstart.frames import Beat, Begin, FrameCutter, Hello, Part, write_frame
+from plankroute.coldstart.lists import HeldList, Incoming
 from plankroute.lab.cold import Case, outage, run_case
+from plankroute.lab.coldcases import CASES, run_cold
 from plankroute.lab.listservice import Behaviour, Mode, Phase
 
 SECOND = 1_000_000
@@ -117,3 +126,144 @@
         assert seen.calls <= 1.3 * STEWARDS and not seen.refused
     if name == "asks for an hour":
         assert seen.calls <= 3 * STEWARDS
+
+
+# The list through peers
+
+
+def entry(uid: str, state: str = "SERVING") -> dict:
+    return {"uid": uid, "state": state}
+
+
+@settings(max_examples=60)
+@given(st.lists(st.lists(st.tuples(st.sampled_from("abcdefg"), st.sampled_from(["SERVING", "DRAINING", "DELETED"])),
+                         max_size=4), max_size=12), st.integers(0, 12))
+def test_what_has_changed_since_a_revision_brings_any_older_list_up(steps, behind):
+    held, older = HeldList(), HeldList()
+    held.take({"rev": 5, "all": True, "targets": [entry(uid) for uid in "abc"]})
+    older.take(orjson.loads(held.whole()))
+    for number, step in enumerate(steps):
+        change = {"rev": 6 + number, "all": False, "targets": [entry(*one) for one in step]}
+        held.take(change)
+        if number < behind:
+            older.take(change)
+    assert (since := held.since(older.revision)) is not None
+    older.take(orjson.loads(since))
+    assert older.whole() == held.whole() and held.since(4) is None and held.since(99) is None
+
+
+def test_a_list_that_broke_off_goes_on_at_another_and_a_bad_one_is_left():
+    data = HeldList().whole() * 400
+    incoming = Incoming(len(data))
+    assert incoming.begin(7, True, len(data), crc32(data), 0) is None
+    assert incoming.add(data[:100]) == (None, None) and incoming.partial() == (7, crc32(data), 100)
+    assert incoming.begin(8, True, len(data), crc32(data), 100)  # another list
+    assert incoming.begin(7, True, len(data), crc32(data), 100) is None
+    assert incoming.add(data[100:]) == (data, None)
+    assert incoming.begin(7, True, len(data) + 1, 1, 0) == "too large"
+    incoming.begin(7, True, 4, 1, 0)
+    assert incoming.add(b"xxxxx")[1] == "more than was announced"
+    incoming.begin(7, True, 4, 1, 0)
+    assert incoming.add(b"xxxx")[1] == "spoilt on its way"
+
+
+@given(st.binary(max_size=200), st.integers(1, 50))
+def test_frames_come_out_as_they_went_in_however_they_are_cut_and_noise_ends_it(noise, step):
+    frames = [Hello(1, "g", "n", 5, False, (1, 2, 3)), Begin(5, True, 9, 1), Part(noise), Beat(5, 0)]
+    data, cutter = b"".join(map(write_frame, frames)), FrameCutter()
+    assert [f for at in range(0, len(data), step) for f in cutter.feed(data[at:at + step])] == frames
+    spoilt = FrameCutter()
+    out = spoilt.feed(b"\xff" + noise + b"\xff" * 8)
+    assert out in ([], [None]) and len(spoilt.held) <= 70_000
+
+
+class Stage:
+    """One steward that follows, and the hands of the test on its time."""
+
+    def __init__(self, others: int = 9, name: str = "") -> None:
+        names = [f"n{number}" for number in range(others + 1)]
+        self.watchers = ranked(names, "g")[:3]
+        self.me = name or next(one for one in names if one not in self.watchers)
+        self.core = Follow(FollowFacts(self.me, "g", len(names), 3, 2 * SECOND))
+        self.now, self.names = 0, frozenset(names) - {self.me}
+        self.done = self.core.deliver(0, [Living(self.names)])
+
+    def main(self) -> str:
+        return next(name for name, link in self.core.state.links.items() if not link.light)
+
+    def witness(self) -> str:
+        return next(name for name, link in self.core.state.links.items() if link.light)
+
+    def say(self, seconds: float, *said: Said) -> list:
+        """The same words each half second for so long."""
+        out = []
+        for _ in range(int(seconds * 2)):
+            self.now += SECOND // 2
+            out += self.core.deliver(self.now, [*said])
+        return out
+
+
+def test_everyone_finds_the_same_watchers_and_one_that_goes_moves_nobody_else():
+    names = [f"n{number}" for number in range(50)]
+    order = ranked(names, "g")
+    assert ranked(reversed(names), "g") == order
+    assert ranked([name for name in names if name != order[1]], "g") == [order[0], *order[2:]]
+    firsts = Counter(ranked(order[:3], name)[0] for name in names)
+    assert min(firsts.values()) > 5  # followers are spread over the watchers
+
+
+def test_nobody_calls_the_service_while_nobody_knows_anybody():
+    core = Follow(FollowFacts("n0", "g", 300, 3, 2 * SECOND))
+    assert not core.deliver(0, []) and not core.deliver(SECOND, [Living(frozenset({"n1"}))])
+    assert Watch(True, None) in core.deliver(5 * SECOND, [Living(frozenset())])  # alone: in rounds by rank
+
+
+def test_a_watcher_that_stalls_is_left_for_the_next_and_nobody_at_all_for_the_service():
+    stage = Stage()
+    main, witness = stage.main(), stage.witness()
+    assert not stage.say(4, Said(main, 5, 0), Said(witness, 5, 0))
+    out = stage.say(3, Said(witness, 5, 0))
+    assert Hang(main) in out and stage.main() not in (main, witness) and Watch(True, None) not in out
+    out = stage.say(14)
+    assert Watch(True, None) in out
+    out = stage.say(2, Said(stage.main(), 5, 0))
+    assert Watch(False, None) in out
+
+
+def test_an_old_relay_is_left_and_a_service_that_began_anew_believed():
+    stage = Stage()
+    main, witness = stage.main(), stage.witness()
+    stage.core.deliver(stage.now, [Holds(50, False)])
+    out = stage.say(1, Said(main, 40, 60 * SECOND), Said(witness, 50, 0))
+    assert Hang(main) in out and not [a for a in out if isinstance(a, Dial) and a.anew]
+    stage = Stage()
+    main, witness = stage.main(), stage.witness()
+    stage.core.deliver(stage.now, [Holds(50, False)])
+    out = stage.say(4, Said(main, 2, 0), Said(witness, 2, 0))
+    assert Dial(main, False, True) in out
+
+
+def test_one_alone_that_says_less_is_checked_with_the_service_and_so_is_one_that_claims_more():
+    for words in ((2, None), (900, 50)):
+        stage = Stage()
+        main, witness = stage.main(), stage.witness()
+        stage.core.deliver(stage.now, [Holds(50, False)])
+        said = [Said(main, words[0], 0)] + ([Said(witness, words[1], 0)] if words[1] else [])
+        if not words[1]:
+            stage.core.deliver(stage.now, [Ended(witness)])
+            stage.core.state.avoided_us = dict.fromkeys(set(stage.watchers) - {main}, 1 << 60)
+        assert Watch(True, None) in stage.say(6, *said)
+        out = stage.core.deliver(stage.now, [Holds(50, True)])
+        assert (Noted("left_ahead", main) in out) is (words[0] == 900)
+
+
+@pytest.fixture(scope="module")
+def through_peers():
+    async def run():
+        return await asyncio.gather(*(run_cold(name, 140 + place) for place, name in enumerate(CASES)))
+    return dict(zip(CASES, asyncio.run(run()), strict=True))
+
+
+@pytest.mark.parametrize("name", CASES)
+def test_real_stewards_take_the_list_from_each_other_through_faults(through_peers, name):
+    assert not through_peers[name][0]
