Surveys of all hosts are shared out: three stewards probe each host, results go round with their age

Cause: at the first joining every steward probes every host: 20 stewards brought each of 500 hosts 20 probes in a moment. Change: coldstart/probers.py (rendezvous by host, own zone first; drawn parts without peers), net/sharedprobes.py; results are notes with an age, only answers are believed, of the host's present start; suspects are asked by each steward itself, as before. lab coldstart with stand-in hosts, proxies, a page with curves.

--- a/plankroute/cli/main.py
+++ b/plankroute/cli/main.py
@@ -136,6 +136,40 @@
         sys.exit(FAILED)
 
 
+@lab.command("coldstart")
+@click.option("--stewards", default=30, show_default=True, type=click.IntRange(2, 300))
+@click.option("--hosts", default=500, show_default=True, type=click.IntRange(1, 2000))
+@click.option("--rate", default=20.0, show_default=True, help="Calls that the list service answers a second.")
+@click.option("--outage", default=0.0, show_default=True, help="Seconds for which the service is down at first.")
+@click.option("--peers/--alone", default=True, show_default=True, help="Whether stewards talk to each other.")
+@click.option("--today/--no-today", default=True, show_default=True, help="A start without our own file beside it.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "out", type=FILE, help="Write what was seen there.")
+@click.option("--report", type=FILE, help="Write a page with curves there (HTML).")
+def lab_coldstart(stewards: int, hosts: int, rate: float, outage: float, peers: bool, today: bool, seed: int,
+                  out: Path | None, report: Path | None) -> None:
+    """A whole site starts at one moment: real stewards, a list service, hosts that count their probes."""
+    import asyncio
+
+    import msgspec
+
+    from plankroute.lab import coldreport
+    from plankroute.lab.cold import Case, down_until, run_case
+    rows = []
+    for way in ["peers" if peers else "alone"] + ["today"] * today:
+        if sys.stderr.isatty():
+            click.echo(f"{way}: {stewards} stewards ...", err=True)
+        rows.append(asyncio.run(run_case(Case(way, stewards, hosts, down_until(outage, rate), seed,
+                                              with_hosts=True))))
+    click.echo(coldreport.table(rows))
+    if out:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(rows), indent=2) + b"\n")
+    if report:
+        report.write_text(coldreport.page(rows))
+    if any(seen.last_s is None for seen in rows if seen.way != "today"):
+        sys.exit(FAILED)
+
+
 def cli() -> int:
     cli_group(prog_name="plankroute")
     return GOOD
--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -141,6 +141,8 @@
         fleet.add_report(i, sums.report)
 
     def on_probe(self, probe: notes.ProbeResult) -> None:
+        if probe.age_us > MEMORY_US:
+            return  # another steward's, from another time
         if probe.outcome is Outcome.ANSWERED:
             self.good_probes, self.bad_probes, self.fleet.cut[self.place] = self.good_probes + 1, 0, False
             self.fleet.add_report(self.place, probe.report)
--- a/plankroute/interface/notes.py
+++ b/plankroute/interface/notes.py
@@ -132,10 +132,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeResult:
+    """`age_us`: how long ago it was, where another steward's probe told it."""
+
     host: int
     outcome: Outcome
     took_us: int
     report: LoadReport | None
+    age_us: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/plankroute/lab/cold.py
+++ b/plankroute/lab/cold.py
@@ -8,10 +8,15 @@
 
 from plankroute.lab.faults import SECOND, Script
 from plankroute.lab.listservice import Behaviour, ListService, Mode, Phase, target
-from plankroute.lab.processes import Fleet, Plan
+from plankroute.lab.hosts import Hosts, one_proxy
+from plankroute.lab.processes import STREAM_PORT, Fleet, Plan
 
 
 
+CLASSES = [{"name": "lookup", "idempotency": "retryable", "onTimeMs": 1000.0, "deadlineMs": 4000.0}]
+LOOK_ON_S = 5.0  # in which probes are counted
+
+
 class Case(msgspec.Struct, frozen=True):
     """A cold start: `way` is today's (no file of ours), alone, or peers."""
 
@@ -24,6 +29,7 @@
     limit_s: float = 120.0
     own: dict[str, Any] = {}
     script: Script = Script(1)
+    with_hosts: bool = False  # stand-ins that answer probes, and a proxy for each steward
 
 
 class Seen(msgspec.Struct):
@@ -47,7 +53,9 @@
 def plan_of(case: Case, service: str) -> Plan:
     own = {"calls_a_second": case.behaviour.rate, **case.own}
     return Plan(case.stewards, case.script, case.net, is_bare=case.way == "today", is_gated=True,
-                more={"coldstart": own}, told={"discovery": service, "known": None}, has_links=case.way == "peers",
+                more={"coldstart": own}, told={"discovery": service, "known": None},
+                settings={"caps": {"mayProbe": True, "dialTimeoutMs": 300.0}, "classes": CLASSES,
+                          "report": {"fields": ["rif"], "via": "piggyback"}}, has_links=case.way == "peers",
                 has_members=case.way == "peers", is_direct=case.script == Script(1))
 
 
@@ -56,13 +64,17 @@
 
     def __init__(self, case: Case) -> None:
         self.case = case
-        targets = [target(host, f"127.0.0.1:{9 + host % 2}") for host in range(case.hosts)]
+        self.hosts = Hosts(case.hosts, case.net) if case.with_hosts else None
+        where = self.hosts.addresses if self.hosts else ["127.0.0.1:9"] * case.hosts
+        targets = [target(host, where[host], "abc"[host % 3]) for host in range(case.hosts)]
         self.service = ListService(targets, case.behaviour)
         self.fleet: Fleet | None = None
         self.absent: tuple[int, ...] = ()  # started later, by whoever looks on
         self.detours: dict[int, Any] = {}  # by member, what stands between it and the service
 
     async def begin(self) -> "ColdStart":
+        if self.hosts:
+            await self.hosts.open()
         address = await self.service.open(f"127.250.{self.case.net}.1")
         self.fleet = Fleet(plan_of(self.case, address))
         for detour in set(self.detours.values()):
@@ -77,10 +89,20 @@
                 await self.fleet.start(member)
         await self.fleet.open_gate()
         self.service.begin()
+        if self.hosts:
+            self.hosts.begin()
+            for member in range(self.case.stewards):
+                self.fleet.keep(self.join_when_served(member))
         if self.case.script.rules or self.case.script.steps:
             self.fleet.keep(self.fleet.play())
         return self
 
+    async def join_when_served(self, member: int) -> None:
+        """A proxy comes once the steward has its list, as proxies do."""
+        assert self.fleet
+        await self.until(lambda: self.served_us()[member] is not None)
+        await one_proxy(self.fleet.real[member][0], STREAM_PORT, "abc"[member % 3])
+
     def served_us(self) -> list[int | None]:
         """By steward, when it first had a list of all hosts."""
         assert self.fleet
@@ -100,9 +122,14 @@
         times = sorted(time / SECOND for time in self.served_us() if time is not None)
         whole = len(times) == self.case.stewards
         service = self.service
+        notes: dict[str, Any] = {}
+        if self.hosts:
+            probes = self.hosts.by_host(LOOK_ON_S)
+            notes = {"probes_a_host_mean": round(sum(probes) / len(probes), 2), "probes_a_host_most": max(probes),
+                     "connections_most": self.hosts.most_open}
         return Seen(self.case.way, self.case.stewards, service.calls, service.answers["refused"], service.busiest(),
                     round(times[0], 2) if times else None, round(times[-1], 2) if whole else None, len(times),
-                    service.bytes, sorted(service.by_caller.values()), dict(service.bins), self.cpu_s())
+                    service.bytes, sorted(service.by_caller.values()), dict(service.bins), self.cpu_s(), notes)
 
     def cpu_s(self) -> float:
         """Of all processes so far, a steward."""
@@ -119,6 +146,8 @@
         if self.fleet:
             await self.fleet.close()
         self.service.close()
+        if self.hosts:
+            self.hosts.close()
 
 
 async def run_case(case: Case) -> Seen:
@@ -126,10 +155,14 @@
     try:
         await start.begin()
         await start.until_all_serve()
+        if start.hosts and start.fleet:
+            await asyncio.sleep(max(0.5, LOOK_ON_S - start.fleet.now_us() / SECOND))
         return start.seen()
     finally:
         await start.close()
 
 
-def outage(until_s: float, rate: float, retry_after: str | None = "1") -> Behaviour:
-    return Behaviour(rate, retry_after, (Phase(0.0, Mode.DOWN), Phase(until_s)))
+def down_until(until_s: float, rate: float, retry_after: str | None = "1") -> Behaviour:
+    """A service that refuses all for so long, and is good from then on."""
+    phases = (Phase(0.0, Mode.DOWN), Phase(until_s)) if until_s else (Phase(0.0),)
+    return Behaviour(rate, retry_after, phases)
--- /dev/null
+++ b/plankroute/lab/hosts.py
@@ -0,0 +1,77 @@
+"""Stand-in hosts that count probes and connections each 100 ms, and proxies that say hello once and read on."""
+
+import asyncio
+import time
+from collections import Counter
+
+BIN_S = 0.1
+PORT = 9000
+ANSWER = b"TEXT inflight=2\n"
+HEAD_S = 5.0
+
+
+class Hosts:
+    """`number` hosts on loopback addresses of one group's own."""
+
+    def __init__(self, number: int, net: int) -> None:
+        self.addresses = [f"127.251.{net}.{host % 250 + 1}:{PORT + host // 250}" for host in range(number)]
+        self.servers: list[asyncio.Server] = []
+        self.probes: Counter[tuple[int, int]] = Counter()  # by host and bin
+        self.open_now: Counter[int] = Counter()
+        self.most_open = 0
+        self.began_s = time.monotonic()
+
+    async def open(self) -> None:
+        for host, address in enumerate(self.addresses):
+            where, _, port = address.rpartition(":")
+
+            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: int = host) -> None:
+                await self.serve(host, reader, writer)
+            self.servers.append(await asyncio.start_server(serve, where, int(port), backlog=512))
+
+    def begin(self) -> None:
+        self.began_s = time.monotonic()
+
+    async def serve(self, host: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.open_now[host] += 1
+        self.most_open = max(self.most_open, self.open_now[host])
+        try:
+            async with asyncio.timeout(HEAD_S):
+                await reader.readuntil(b"\r\n\r\n")
+            self.probes[host, int((time.monotonic() - self.began_s) / BIN_S)] += 1
+            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+                         % (len(ANSWER), ANSWER))
+            await writer.drain()
+            writer.close()
+        except (OSError, TimeoutError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass
+        finally:
+            self.open_now[host] -= 1
+            if not writer.is_closing():
+                writer.transport.abort()
+
+    def by_host(self, within_s: float) -> list[int]:
+        """Probes of each host in the first seconds."""
+        out = [0] * len(self.addresses)
+        for (host, place), times in self.probes.items():
+            if place * BIN_S < within_s:
+                out[host] += times
+        return out
+
+    def close(self) -> None:
+        for server in self.servers:
+            server.close()
+
+
+async def one_proxy(host: str, port: int, zone: str, read_s: float = 60.0) -> int:
+    """Joins a steward as its proxy 0 and reads what it is sent; lines that came."""
+    lines = 0
+    try:
+        reader, writer = await asyncio.open_connection(host, port, limit=1 << 21)
+        writer.write(f"hello node=0 locality={zone} w=10.0 cold=1\r\n".encode())
+        async with asyncio.timeout(read_s):
+            while await reader.readline():
+                lines += 1
+    except (OSError, TimeoutError, ValueError):
+        pass
+    return lines
--- a/plankroute/net/extras.py
+++ b/plankroute/net/extras.py
@@ -1,10 +1,12 @@
 """What our own file switches on, put together. Imported only where there is such a file."""
 
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from plankroute.coldstart.calls import CallFacts
 from plankroute.coldstart.follow import FollowFacts
+from plankroute.coldstart.frames import Probed
+from plankroute.coldstart.probers import Survey
 from plankroute.interface import notes
 from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
@@ -12,8 +14,12 @@
 from plankroute.net.careful import CarefulDiscovery
 from plankroute.net.discovery import Discovery
 from plankroute.net.members import Members, Self
+from plankroute.net.probes import Prober
 from plankroute.ownfile import ColdStartPart, OwnFile
 
+if TYPE_CHECKING:
+    from plankroute.net.shared import SharedDiscovery
+
 
 class Extras:
     """Each part is there, or None where its section is missing."""
@@ -24,6 +30,7 @@
         self.me = Self(boot.name, zones[zone] if zone < len(zones) else "", boot.seed)
         self.members = Members(own.membership, self.me, book, put) if own.membership else None
         self.careful: CarefulDiscovery | None = None
+        self.shared: SharedDiscovery | None = None
 
     def make_discovery(self, *words: Any) -> Discovery:
         """Takes what a Discovery takes."""
@@ -34,7 +41,7 @@
             self.careful = CarefulDiscovery(*words)
         else:
             from plankroute.net.shared import SharedDiscovery
-            self.careful = shared = SharedDiscovery(*words)
+            self.careful = self.shared = shared = SharedDiscovery(*words)
             facts = FollowFacts(self.me.name, self.members.part.group, calls.stewards, part.links.watchers,
                                 part.links.stall_ms * 1000)
             port = part.links.port or host_and_port(part.links.listen)[1]
@@ -42,6 +49,25 @@
         self.careful.prepare(calls, int(part.list_old_s * 1e6), seed)
         return self.careful
 
+    def make_prober(self, *words: Any) -> Prober:
+        """Takes what a Prober takes; after `make_discovery`."""
+        if (part := self.own.coldstart) is None or part.probers == 0:
+            return Prober(*words)
+        from plankroute.net.sharedprobes import SharedProber
+        prober, shared = SharedProber(*words), self.shared
+        survey = Survey(self.me.name, part.probers, part.stewards or self.boot.facts.stewards)
+        prober.prepare_survey(survey, self.boot.zones, self.living, shared.tell_results if shared else drop)
+        if shared:
+            shared.on_results = prober.hear
+        return prober
+
+    def living(self) -> dict[str, str]:
+        """All stewards that are there and whom results may reach, with their zones; this one among them."""
+        if self.members is None or self.shared is None:
+            return {}
+        view = self.members.core.view
+        return {view.at(place).name: view.at(place).zone for place in (0, *view.living())}
+
     def start(self) -> None:
         if self.members:
             self.members.start()
@@ -69,3 +95,7 @@
                      stewards=part.stewards or boot.facts.stewards, calls_a_second=part.calls_a_second,
                      pause_most_us=int(part.pause_most_s * 1e6),
                      retry_after_most_us=int(part.retry_after_most_s * 1e6))
+
+
+def drop(frame: Probed) -> None:
+    """Where there are no links, results are a steward's own."""
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -58,8 +58,9 @@
         self.discovery = make(boot.discovery, boot.room.list_bytes, self.directory, book, boot.seed,
                               boot.facts.must_subscribe, put)
         self.router.send = Sender(streams, Writer(boot.products, self.directory.uid), book).send
-        self.prober = Prober(boot.facts, self.directory, clock, book, boot.dial_us,
-                             self.listener.room_for_probes, put)
+        make_prober = self.extras.make_prober if self.extras else Prober
+        self.prober = make_prober(boot.facts, self.directory, clock, book, boot.dial_us,
+                                  self.listener.room_for_probes, put)
         self.router.probe = self.prober.probe
         self.router.ask, self.router.forget = self.discovery.obey, self.directory.forget
 
--- a/plankroute/ownfile.py
+++ b/plankroute/ownfile.py
@@ -65,6 +65,8 @@
         ge=0, le=3600, description="what a Retry-After may ask for at most")] = 30.0
     list_old_s: Annotated[float, msgspec.Meta(
         ge=1, le=3600, description="without a word from the list for so long, drains may have been missed: said")] = 15.0
+    probers: Annotated[int, msgspec.Meta(
+        ge=0, le=100, description="stewards that probe each host when all are asked at once; 0: every steward")] = 3
     links: LinksPart | None = None
 
 
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -13,7 +13,8 @@
 from plankroute.coldstart.follow import Dial, Ended, Follow, FollowFacts, Hang, Holds, Living, Noted, Said, Watch, ranked
 from plankroute.coldstart.frames import Beat, Begin, FrameCutter, Hello, Part, write_frame
 from plankroute.coldstart.lists import HeldList, Incoming
-from plankroute.lab.cold import Case, outage, run_case
+from plankroute.coldstart.probers import Result, Survey, is_drawn, probers_of
+from plankroute.lab.cold import Case, down_until, run_case
 from plankroute.lab.coldcases import CASES, run_cold
 from plankroute.lab.listservice import Behaviour, Mode, Phase
 
@@ -97,7 +98,7 @@
 
 ALONE = {
     "good": Behaviour(20.0),
-    "down for eight seconds": outage(8.0, 20.0),
+    "down for eight seconds": down_until(8.0, 20.0),
     "one call in three": Behaviour(40.0, "1", (Phase(0.0, Mode.ONE_IN_THREE),)),
     "hangs after the head": Behaviour(20.0, "1", (Phase(0.0, Mode.HANG), Phase(2.0))),
     "half a list": Behaviour(20.0, "1", (Phase(0.0, Mode.HALF), Phase(2.0))),
@@ -257,6 +258,39 @@
         assert (Noted("left_ahead", main) in out) is (words[0] == 900)
 
 
+def test_each_host_is_probed_by_as_many_as_stated_its_own_zone_first():
+    zones = {f"n{number}": "abc"[number % 3] for number in range(30)}
+    asked = Counter()
+    for host in range(200):
+        probers = probers_of(f"h{host}", "a", zones, 3)
+        assert probers == probers_of(f"h{host}", "a", dict(reversed(zones.items())), 3)
+        assert len(set(probers)) == 3 and all(zones[name] == "a" for name in probers)
+        asked.update(probers)
+    assert max(asked.values()) < 2 * 600 / 10
+    assert len(probers_of("h", "d", zones, 3)) == 3 and len(probers_of("h", "a", {"n0": "b"}, 3)) == 1
+    drawn = [sum(is_drawn(f"n{name}", f"h{host}", 3, 300) for name in range(300)) for host in range(100)]
+    assert 2 < sum(drawn) / 100 < 4
+
+
+def test_results_count_by_their_age_and_by_the_start_of_the_host():
+    survey = Survey("n0", 3, 10)
+    assert survey.keep("h", Result(9000, 10 * SECOND, 5.0)) and not survey.keep("h", Result(1, 9 * SECOND, 5.0))
+    assert survey.fresh("h", 5.0, 11 * SECOND) and not survey.fresh("h", 5.0, 13 * SECOND)
+    assert not survey.fresh("h", 6.0, 11 * SECOND)  # another start: another host
+    assert survey.keep("h", Result(1, 9 * SECOND, 6.0)) and survey.fresh("h", 6.0, 10 * SECOND)
+    assert not survey.fresh("x", 0.0, 0)
+
+
+@pytest.mark.parametrize("way", ["peers", "alone"])
+def test_a_survey_of_all_hosts_is_shared_out(way):
+    """Real stewards, stand-in hosts that count, a proxy for each: today's way probes each host once a steward."""
+    seen = asyncio.run(run_case(Case(way, 10, 60, Behaviour(20.0), net=160 + (way == "alone"), with_hosts=True)))
+    assert seen.served == 10 and seen.notes["connections_most"] <= 10
+    assert 2 <= seen.notes["probes_a_host_mean"] <= 4.5
+    if way == "peers":
+        assert seen.notes["probes_a_host_most"] <= 5
+
+
 @pytest.fixture(scope="module")
 def through_peers():
     async def run():
