--- a/plankroute/__main__.py
+++ b/plankroute/__main__.py
@@ -1,4 +1,5 @@
-"""`python -m plankroute`: one real steward, told by GW_CONFIG what it is. With words behind it: the command line."""
+"""`python -m plankroute`: one real steward, told by GW_CONFIG what it is. With words behind it: the command
+line."""
 
 import sys
 
--- a/plankroute/cli/main.py
+++ b/plankroute/cli/main.py
@@ -1,4 +1,5 @@
-"""The words behind `python -m plankroute`. Exit codes: 0 good, 1 a check failed, 2 a mistake in what was given."""
+"""The words behind `python -m plankroute`. Exit codes: 0 good, 1 a check failed, 2 a mistake in what was
+given."""
 
 import os
 import sys
@@ -27,8 +28,12 @@
 
 
 @cli_group.command()
-@click.option("--file", "path", type=FILE, envvar="PLANKROUTE_FILE",
-              help="Our own JSON file (deploy/plankroute.example.json); without one all it switches on is off.")
+@click.option(
+    "--file",
+    "path",
+    type=FILE,
+    envvar="PLANKROUTE_FILE",
+    help="Our own JSON file (deploy/plankroute.example.json); without one all it switches on is off.")
 def run(path: Path | None) -> None:
     """One real steward, as operators start it; GW_CONFIG names its configuration."""
     from plankroute.net.service import OWN_FILE, main
@@ -107,7 +112,8 @@
     """The chosen way of membership beside the plain ones: the same seeds, faults and figures."""
     from plankroute.lab.measure import KINDS, WAYS, measure, table
     asked, wanted = ways.split(","), parts.split(",")
-    if unknown := [name for name in asked if name not in WAYS] + [name for name in wanted if name not in KINDS]:
+    if unknown := [name
+                   for name in asked if name not in WAYS] + [name for name in wanted if name not in KINDS]:
         raise Mistake(f"not known: {', '.join(unknown)}; ways: {', '.join(WAYS)}; parts: {', '.join(KINDS)}")
     figures = measure(sizes, seeds, minutes, asked, wanted, jobs, progress=sys.stderr.isatty())
     click.echo(table(figures))
@@ -140,9 +146,15 @@
 @click.option("--stewards", default=30, show_default=True, type=click.IntRange(2, 300))
 @click.option("--hosts", default=500, show_default=True, type=click.IntRange(1, 2000))
 @click.option("--rate", default=20.0, show_default=True, help="Calls that the list service answers a second.")
-@click.option("--outage", default=0.0, show_default=True, help="Seconds for which the service is down at first.")
+@click.option("--outage",
+              default=0.0,
+              show_default=True,
+              help="Seconds for which the service is down at first.")
 @click.option("--peers/--alone", default=True, show_default=True, help="Whether stewards talk to each other.")
-@click.option("--today/--no-today", default=True, show_default=True, help="A start without our own file beside it.")
+@click.option("--today/--no-today",
+              default=True,
+              show_default=True,
+              help="A start without our own file beside it.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--json", "out", type=FILE, help="Write what was seen there.")
 @click.option("--report", type=FILE, help="Write a page with curves there (HTML).")
--- a/plankroute/cli/view.py
+++ b/plankroute/cli/view.py
@@ -1,6 +1,7 @@
 """Asks a running steward for its view, by datagrams to its membership address, and prints it.
 
-By datagrams, since the address is there anyway: no further listener, no file that a read-only tree would refuse, and
+By datagrams, since the address is there anyway: no further listener, no file that a read-only tree would
+refuse, and
 the steward answers only what is asked from its own machine."""
 
 import socket
--- a/plankroute/coldstart/calls.py
+++ b/plankroute/coldstart/calls.py
@@ -9,7 +9,8 @@
 from plankroute.tokens import Tokens
 
 SECOND_US = 1_000_000
-SLACK = 1.05  # of a round: calls come a little slower than the service can answer, so that none is refused for chance
+SLACK = 1.05  # of a round: calls come a little slower than the service can answer, so that none is refused
+# for chance
 LEAST_ROUND_US = SECOND_US // 2  # a small group's: half a second between calls to a service in trouble
 STEADY_ROUNDS, GROWTH = 3, 1.5  # rounds of the same length first: most outages are over by then
 LONGEST = 4  # rounds grow up to that many windows, as far as the stated longest pause allows
@@ -38,7 +39,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """A call brought no list: refused, broken, cut short or silent. `retry_after_us`: how long it asks to wait."""
+    """A call brought no list: refused, broken, cut short or silent. `retry_after_us`: how long it asks to
+    wait."""
 
     retry_after_us: int | None = None
 
@@ -114,7 +116,8 @@
 
 
 def retry_after_us(text: bytes | None, unix_s: float) -> int | None:
-    """Both forms of RFC 9110, section 10.2.3: seconds, or a date of the day's clock; None where it says neither."""
+    """Both forms of RFC 9110, section 10.2.3: seconds, or a date of the day's clock; None where it says
+    neither."""
     if text is None:
         return None
     said = text.decode("ascii", "replace").strip()
--- a/plankroute/coldstart/follow.py
+++ b/plankroute/coldstart/follow.py
@@ -1,4 +1,5 @@
-"""Who of the stewards watches the list service for the others, whom this one follows, and when it leaves them.
+"""Who of the stewards watches the list service for the others, whom this one follows, and when it leaves
+them.
 
 Decides by its own view of who is there; two views that differ cost a few calls more, and no drain."""
 
@@ -19,15 +20,19 @@
 DIFFER_US = 2 * SECOND_US  # two that are followed have different revisions: beyond what is on its way
 ALONE_US = 3 * SECOND_US  # without anybody to follow, before the service itself is called
 SLOW_US = 60 * SECOND_US  # a first list that takes longer never ends: 3 MB on a link of 50 KB/s
-LATER_US = 2 * SECOND_US  # a watcher that is none any more goes on for so long: the next one comes up meanwhile
+LATER_US = 2 * SECOND_US  # a watcher that is none any more goes on for so long: the next one comes up
+# meanwhile
 BEAT_US = SECOND_US // 10
 
 
 def ranked(names: Iterable[str], key: str) -> list[str]:
-    """Rendezvous hashing (Thaler and Ravishankar 1998): each name has a figure for the key, the highest first.
+    """Rendezvous hashing (Thaler and Ravishankar 1998): each name has a figure for the key, the highest
+    first.
 
     Everyone with the same names finds the same order without a vote; one that goes moves nobody else."""
-    return sorted(names, key=lambda name: (xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()), name), reverse=True)
+    return sorted(names,
+                  key=lambda name: (xxhash.xxh3_64_intdigest(f"{key}\0{name}".encode()), name),
+                  reverse=True)
 
 
 class Role(Enum):
@@ -112,7 +117,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Watch:
-    """Call the list service, or leave it. `place`: among the watchers; None: by the stated rank, in rounds."""
+    """Call the list service, or leave it. `place`: among the watchers; None: by the stated rank, in
+    rounds."""
 
     on: bool
     place: int | None = None
@@ -328,7 +334,9 @@
         self.out.append(Noted(f"left_{why}", name))
         self.state.avoided_us[name] = now_us + avoid_us
         if len(self.state.avoided_us) > 4 * self.facts.watchers:
-            self.state.avoided_us = {who: until for who, until in self.state.avoided_us.items() if until > now_us}
+            self.state.avoided_us = {
+                who: until for who, until in self.state.avoided_us.items() if until > now_us
+            }
         self.differs_us = None
         if hang:
             self.drop(name)
--- a/plankroute/coldstart/frames.py
+++ b/plankroute/coldstart/frames.py
@@ -1,4 +1,5 @@
-"""The codec of links between stewards: frames of MessagePack behind their length. Only here: how they look."""
+"""The codec of links between stewards: frames of MessagePack behind their length. Only here: how they
+look."""
 
 import struct
 
@@ -12,7 +13,8 @@
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
-    """The first frame, from who dials. `partial`: revision, check sum and bytes there of a list that broke off."""
+    """The first frame, from who dials. `partial`: revision, check sum and bytes there of a list that broke
+    off."""
 
     version: int
     group: str
@@ -59,7 +61,8 @@
 
 
 class FrameCutter:
-    """Bytes as they come to frames; None in their place where they can't be any, after which nothing is read."""
+    """Bytes as they come to frames; None in their place where they can't be any, after which nothing is
+    read."""
 
     def __init__(self) -> None:
         self.held, self.is_spoilt = bytearray(), False
--- a/plankroute/coldstart/lists.py
+++ b/plankroute/coldstart/lists.py
@@ -7,12 +7,14 @@
 
 import orjson
 
-MOST_CHANGES = 4096  # kept: more than change in an hour of releases; who is further behind gets the whole list
+MOST_CHANGES = 4096  # kept: more than change in an hour of releases; who is further behind gets the whole
+# list
 DELETED = "DELETED"
 
 
 class HeldList:
-    """Entries as the list service wrote them, by name; a whole list has the same bytes wherever it is held."""
+    """Entries as the list service wrote them, by name; a whole list has the same bytes wherever it is
+    held."""
 
     def __init__(self) -> None:
         self.revision = -1  # -1: no list yet
@@ -23,7 +25,9 @@
 
     def take(self, raw: dict[str, Any]) -> None:
         """A list that this steward has come to believe; its form was checked."""
-        targets = [item for item in raw["targets"] if isinstance(item, dict) and isinstance(item.get("uid"), str)]
+        targets = [
+            item for item in raw["targets"] if isinstance(item, dict) and isinstance(item.get("uid"), str)
+        ]
         if raw["all"]:
             self.entries = {item["uid"]: item for item in targets}
             self.changes.clear()
--- a/plankroute/coldstart/probers.py
+++ b/plankroute/coldstart/probers.py
@@ -18,7 +18,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Result:
-    """An answered probe. `boot_ms`: the start of the host that answered; `at_us`: steady time of this steward."""
+    """An answered probe. `boot_ms`: the start of the host that answered; `at_us`: steady time of this
+    steward."""
 
     took_us: int
     at_us: int
@@ -30,7 +31,8 @@
     near = ranked([name for name, zone in zones.items() if zone == host_zone], host)
     if len(near) >= number:
         return near[:number]
-    return near + ranked([name for name, zone in zones.items() if zone != host_zone], host)[:number - len(near)]
+    return near + ranked([name
+                          for name, zone in zones.items() if zone != host_zone], host)[:number - len(near)]
 
 
 def is_drawn(name: str, host: str, number: int, stewards: int) -> bool:
--- a/plankroute/lab/__init__.py
+++ b/plankroute/lab/__init__.py
@@ -1,1 +1,2 @@
-"""The laboratory: processes, faulty links, simulated time, checkers and measurements. Nothing in `run` imports it."""
+"""The laboratory: processes, faulty links, simulated time, checkers and measurements. Nothing in `run`
+imports it."""
--- a/plankroute/lab/baselines.py
+++ b/plankroute/lab/baselines.py
@@ -1,5 +1,6 @@
 """The plain ways of membership, to compare with: heartbeats of all to all, SWIM with suspicion, SWIM with
-Lifeguard's self-doubt. Written from their papers, on the same records and messages; they know all members from
+Lifeguard's self-doubt. Written from their papers, on the same records and messages; they know all members
+from
 the start, and serve in the laboratory alone."""
 
 import math
@@ -20,12 +21,15 @@
 HEARTBEAT_US, TIMEOUT_US = SECOND, 3 * SECOND  # three beats missed: as quick as the chosen way
 PERIOD_US, DIRECT_US, HELPERS = SECOND, SECOND // 2, 3  # SWIM's usual figures
 SUSPICION_US = 3 * SECOND  # so that a kill is known about as fast as by the chosen way
-LONGEST, CONFIRMATIONS, MOST_HEALTH = 6, 3, 8  # Lifeguard's usual: time-out at first, votes to the least, multiplier
+LONGEST, CONFIRMATIONS, MOST_HEALTH = 6, 3, 8  # Lifeguard's usual: time-out at first, votes to the least,
+# multiplier
 RUMOUR_ROOM = 800  # bytes of a datagram
 
 
 def records(members: int) -> list[Record]:
-    return [Record(name_of(member), address_of(member), f"z{member % 3}", 1, WALL_US) for member in range(members)]
+    return [
+        Record(name_of(member), address_of(member), f"z{member % 3}", 1, WALL_US) for member in range(members)
+    ]
 
 
 class Heartbeats:
@@ -81,7 +85,8 @@
 
     def __init__(self, member: int, members: int, life: int, seed: int, lifeguard: bool) -> None:
         everybody = records(members)
-        self.view = View(msgspec.structs.replace(everybody[member], life=life, incarnation=WALL_US + life - 1))
+        self.view = View(msgspec.structs.replace(everybody[member], life=life,
+                                                 incarnation=WALL_US + life - 1))
         for record in everybody[:member] + everybody[member + 1:]:
             self.view.merge(record, 0)
         self.lifeguard, self.chance, self.rumours = lifeguard, Chance(seed * 7919 + member), Rumours()
@@ -107,8 +112,8 @@
         self.out.append(Send(address, said))
 
     def riding(self, first: Record | None = None) -> tuple[Record, ...]:
-        more = self.rumours.take(len(self.view), RUMOUR_ROOM, lambda name: self.view.at(self.view.index[name]),
-                                 CODEC.size)
+        more = self.rumours.take(len(self.view), RUMOUR_ROOM,
+                                 lambda name: self.view.at(self.view.index[name]), CODEC.size)
         return (first, *more) if first else tuple(more)
 
     def ping(self, place: int, number: int) -> None:
@@ -178,11 +183,14 @@
     def beat(self, now_us: int) -> None:
         slow = 1 + self.health if self.lifeguard else 1
         probe = self.round
-        if probe and not probe.answered and not probe.sent_helpers and now_us - probe.since_us >= DIRECT_US * slow:
+        waited_us = now_us - probe.since_us if probe and not probe.answered else 0
+        if probe and not probe.sent_helpers and waited_us >= DIRECT_US * slow:
             probe.sent_helpers = True
             for place in self.drawn(HELPERS, probe.place):
-                self.send(self.view.at(place).address,
-                          Errand(probe.number, self.view.at(probe.place).address, self.view.own(), self.riding()))
+                self.send(
+                    self.view.at(place).address,
+                    Errand(probe.number,
+                           self.view.at(probe.place).address, self.view.own(), self.riding()))
         if probe is None or now_us - probe.since_us >= PERIOD_US * slow:
             if probe and not probe.answered:
                 self.suspect(probe.place, now_us)
@@ -206,7 +214,8 @@
         self.health = min(MOST_HEALTH, self.health + 1)
         record = self.view.at(place)
         if not record.is_final():
-            self.take(msgspec.structs.replace(record, standing=Standing.SUSPECTED, voters=(self.mark,)), now_us)
+            self.take(msgspec.structs.replace(record, standing=Standing.SUSPECTED, voters=(self.mark,)),
+                      now_us)
 
     def begin(self, now_us: int) -> None:
         living = self.view.living()
--- a/plankroute/lab/checkers.py
+++ b/plankroute/lab/checkers.py
@@ -68,12 +68,17 @@
 def disagreeing(history: History, at_us: int, observers: Iterable[int], subjects: Iterable[int]) -> list[int]:
     """Subjects of whom the observers do not all hold the same: there, or not there."""
     held, observers = standing_at(history, at_us), list(observers)
-    return [subject for subject in subjects if len(
-        {held.get((observer, subject)) in ("joined", "back") for observer in observers if observer != subject}) > 1]
+    return [
+        subject for subject in subjects if len({
+            held.get((observer, subject)) in ("joined", "back") for observer in observers
+            if observer != subject
+        }) > 1
+    ]
 
 
 def agreed_after_us(history: History, from_us: int, alive: Iterable[int]) -> int | None:
-    """How long after that time all living members held all living ones for there, for good; None: not at the end."""
+    """How long after that time all living members held all living ones for there, for good; None: not at the
+    end."""
     alive = set(alive)
     held = standing_at(history, from_us)
     missing = {(one, other) for one in alive for other in alive
--- a/plankroute/lab/cold.py
+++ b/plankroute/lab/cold.py
@@ -1,4 +1,5 @@
-"""Cold starts of many real stewards at one moment: what the list service and the hosts see of it, and when all serve."""
+"""Cold starts of many real stewards at one moment: what the list service and the hosts see of it, and when
+all serve."""
 
 import asyncio
 from collections.abc import Callable
@@ -106,9 +107,12 @@
     def served_us(self) -> list[int | None]:
         """By steward, when it first had a list of all hosts."""
         assert self.fleet
-        return [next((line["at_us"] for line in lines if line.get("event") == "list" and line.get("kind") == "full"
-                      and line.get("revision", 0) > 0), None)
-                for member, lines in enumerate(self.fleet.lines) if member not in self.absent]
+        return [
+            next(
+                (line["at_us"] for line in lines
+                 if line.get("event") == "list" and line.get("kind") == "full" and line.get("revision", 0) > 0
+                 ), None) for member, lines in enumerate(self.fleet.lines) if member not in self.absent
+        ]
 
     async def until(self, holds: Callable[[], bool]) -> bool:
         assert self.fleet
@@ -125,11 +129,15 @@
         notes: dict[str, Any] = {}
         if self.hosts:
             probes = self.hosts.by_host(LOOK_ON_S)
-            notes = {"probes_a_host_mean": round(sum(probes) / len(probes), 2), "probes_a_host_most": max(probes),
-                     "connections_most": self.hosts.most_open}
-        return Seen(self.case.way, self.case.stewards, service.calls, service.answers["refused"], service.busiest(),
-                    round(times[0], 2) if times else None, round(times[-1], 2) if whole else None, len(times),
-                    service.bytes, sorted(service.by_caller.values()), dict(service.bins), self.cpu_s(), notes)
+            notes = {
+                "probes_a_host_mean": round(sum(probes) / len(probes), 2), "probes_a_host_most": max(probes),
+                "connections_most": self.hosts.most_open
+            }
+        return Seen(self.case.way, self.case.stewards, service.calls, service.answers["refused"],
+                    service.busiest(),
+                    round(times[0], 2) if times else None,
+                    round(times[-1], 2) if whole else None, len(times), service.bytes,
+                    sorted(service.by_caller.values()), dict(service.bins), self.cpu_s(), notes)
 
     def cpu_s(self) -> float:
         """Of all processes so far, a steward."""
--- a/plankroute/lab/coldcases.py
+++ b/plankroute/lab/coldcases.py
@@ -1,4 +1,5 @@
-"""Hard cases of a cold start through peers: watchers that fail, partitions, drains, lies; judged by what was seen."""
+"""Hard cases of a cold start through peers: watchers that fail, partitions, drains, lies; judged by what was
+seen."""
 
 import asyncio
 import random
@@ -33,7 +34,9 @@
 
 def watchers(stewards: int = STEWARDS) -> list[int]:
     """Places of those that watch, as all members find them."""
-    return [int(name[1:]) for name in ranked([f"n{member:04d}" for member in range(stewards)], "lab")[:WATCHERS]]
+    return [
+        int(name[1:]) for name in ranked([f"n{member:04d}" for member in range(stewards)], "lab")[:WATCHERS]
+    ]
 
 
 def others(places: list[int], stewards: int = STEWARDS) -> list[int]:
@@ -68,7 +71,8 @@
 
 
 async def good(start: ColdStart) -> list[str]:
-    """All serve, few calls; then a drain reaches everybody, and a late steward joins without a further call."""
+    """All serve, few calls; then a drain reaches everybody, and a late steward joins without a further
+    call."""
     assert start.fleet
     out = await all_serve(start)
     if start.service.calls > 12:
@@ -138,7 +142,8 @@
 
 
 async def began_anew(start: ColdStart) -> list[str]:
-    """The service restarts with revisions that begin anew; everybody follows, and lower ones are believed then."""
+    """The service restarts with revisions that begin anew; everybody follows, and lower ones are believed
+    then."""
     assert start.fleet
     out = await all_serve(start)
     start.service.change(7, state="DRAINING")
@@ -148,7 +153,8 @@
     fleet = start.fleet
 
     def followed() -> bool:
-        return all([line["revision"] for line in lines if line.get("event") == "list"][-1] == 2 for lines in fleet.lines)
+        return all([line["revision"] for line in lines if line.get("event") == "list"][-1] == 2
+                   for lines in fleet.lines)
     return out + await wanted(start, "the list that began anew", followed)
 
 
@@ -172,7 +178,10 @@
             for member in rest))
     finally:
         server.close()
-    bad = [line for lines in fleet.lines for line in lines if line.get("event") in ("follow_failed", "core_failed")]
+    bad = [
+        line for lines in fleet.lines for line in lines
+        if line.get("event") in ("follow_failed", "core_failed")
+    ]
     return out + [str(line) for line in bad]
 
 
@@ -225,7 +234,8 @@
 
 
 class CutService:
-    """Between the service and the small side of a partition: nothing comes through while the script says so."""
+    """Between the service and the small side of a partition: nothing comes through while the script says
+    so."""
 
     def __init__(self, start: ColdStart, address: str, until_s: float) -> None:
         self.start, self.address, self.until_s = start, address, until_s
@@ -271,8 +281,9 @@
 async def run_cold(name: str, net: int) -> tuple[list[str], dict[str, Any]]:
     """Objections, and what was seen."""
     case = CASES[name]
-    start = ColdStart(Case("peers", STEWARDS, case.hosts, case.behaviour, 1, net, LIMIT_S, {"list_old_s": 5.0},
-                           case.script(watchers())))
+    start = ColdStart(
+        Case("peers", STEWARDS, case.hosts, case.behaviour, 1, net, LIMIT_S, {"list_old_s": 5.0},
+             case.script(watchers())))
     start.absent = case.absent
     cut = CutService(start, "", 34.0)
     if name == "parted":
@@ -281,8 +292,10 @@
         await start.begin()
         objections = await case.play(start)
         assert start.fleet
-        failed = [line for lines in start.fleet.lines for line in lines
-                  if line.get("event") in ("follow_failed", "core_failed", "members_failed", "discovery_failed")]
+        failed = [
+            line for lines in start.fleet.lines for line in lines
+            if line.get("event") in ("follow_failed", "core_failed", "members_failed", "discovery_failed")
+        ]
         return objections + [str(line) for line in failed[:3]], msgspec.to_builtins(start.seen())
     finally:
         await start.close()
--- a/plankroute/lab/coldreport.py
+++ b/plankroute/lab/coldreport.py
@@ -1,4 +1,5 @@
-"""What a cold start showed, as a table and as one page with curves: calls at the service, ways side by side."""
+"""What a cold start showed, as a table and as one page with curves: calls at the service, ways side by
+side."""
 
 import jinja2
 
@@ -9,7 +10,8 @@
 COLOURS = {"today": "#b3392f", "alone": "#2f6db3", "peers": "#2f8f4e"}
 PAGE = jinja2.Template("""<!doctype html><html lang="en"><meta charset="utf-8"><title>Cold start</title>
 <style>body{font:15px/1.45 system-ui,sans-serif;max-width:820px;margin:2em auto;padding:0 1em}
-table{border-collapse:collapse;width:100%}td,th{padding:.3em .6em;text-align:right;border-bottom:1px solid #ddd}
+table{border-collapse:collapse;width:100%}
+td,th{padding:.3em .6em;text-align:right;border-bottom:1px solid #ddd}
 td:first-child,th:first-child{text-align:left}svg{width:100%;height:auto;background:#fafafa}</style>
 <h1>Cold start of {{ stewards }} stewards</h1>
 <table><tr>{% for name in heads %}<th>{{ name }}</th>{% endfor %}</tr>
@@ -22,9 +24,10 @@
 <text x="2" y="16" font-size="12">{{ curve.most }}</text>
 <text x="{{ width - 60 }}" y="{{ height - 10 }}" font-size="12">{{ curve.seconds }} s</text></svg>
 {% endfor %}<p>The scale of each curve is its own.</p></html>
-""", autoescape=True)
-HEADS = ("way", "calls", "refused", "busiest second", "first list", "last list", "serve", "MB", "CPU a steward",
-         "probes a host")
+""",
+                       autoescape=True)
+HEADS = ("way", "calls", "refused", "busiest second", "first list", "last list", "serve", "MB",
+         "CPU a steward", "probes a host")
 
 
 def cells(seen: Seen) -> tuple[str, ...]:
@@ -32,7 +35,8 @@
         return "never" if value is None else f"{value:.2f} s"
     probes = seen.notes.get("probes_a_host_mean")
     return (seen.way, str(seen.calls), str(seen.refused), str(seen.busiest), seconds(seen.first_s),
-            seconds(seen.last_s), f"{seen.served}/{seen.stewards}", f"{seen.bytes / 1e6:.2f}", f"{seen.cpu_s:.2f} s",
+            seconds(seen.last_s), f"{seen.served}/{seen.stewards}", f"{seen.bytes / 1e6:.2f}",
+            f"{seen.cpu_s:.2f} s",
             "-" if probes is None else f"{probes:g}, most {seen.notes['probes_a_host_most']}")
 
 
@@ -50,11 +54,17 @@
     sums = [sum(seen.bins.get(place - back, 0) for back in range(width)) for place in range(last + 1)]
     most = max(sums) or 1
     points = " ".join(f"{MARGIN + (WIDTH - MARGIN) * place / last:.1f},"
-                      f"{HEIGHT - MARGIN - (HEIGHT - 2 * MARGIN) * value / most:.1f}" for place, value in enumerate(sums))
+                      f"{HEIGHT - MARGIN - (HEIGHT - 2 * MARGIN) * value / most:.1f}"
+                      for place, value in enumerate(sums))
     return {"way": seen.way, "points": points, "most": most, "seconds": round(last * BIN_S, 1),
             "colour": COLOURS.get(seen.way, "#555")}
 
 
 def page(rows: list[Seen]) -> str:
-    return PAGE.render(stewards=rows[0].stewards, heads=HEADS, rows=[cells(seen) for seen in rows], width=WIDTH,
-                       height=HEIGHT, margin=MARGIN, curves=[curve(seen) for seen in rows])
+    return PAGE.render(stewards=rows[0].stewards,
+                       heads=HEADS,
+                       rows=[cells(seen) for seen in rows],
+                       width=WIDTH,
+                       height=HEIGHT,
+                       margin=MARGIN,
+                       curves=[curve(seen) for seen in rows])
--- a/plankroute/lab/faults.py
+++ b/plankroute/lab/faults.py
@@ -1,4 +1,5 @@
-"""Faults by script and seed: the fate of each datagram on each ordered pair of members, and what befalls processes.
+"""Faults by script and seed: the fate of each datagram on each ordered pair of members, and what befalls
+processes.
 
 The same script meets the same datagrams with the same fate, in simulated time and between real processes."""
 
@@ -87,7 +88,8 @@
 
     def ends_s(self) -> float:
         """When the last step is done and the last rule with an end is over."""
-        ends = [step.at_s for step in self.steps] + [rule.until_s for rule in self.rules if rule.until_s < 1e9]
+        ends = [step.at_s
+                for step in self.steps] + [rule.until_s for rule in self.rules if rule.until_s < 1e9]
         return max(ends, default=0.0)
 
 
@@ -112,7 +114,8 @@
     return value ^ (value >> 16)
 
 
-def cut_between(one: tuple[int, ...], other: tuple[int, ...], from_s: float, until_s: float) -> tuple[Rule, ...]:
+def cut_between(one: tuple[int, ...], other: tuple[int, ...], from_s: float,
+                until_s: float) -> tuple[Rule, ...]:
     """Neither side hears the other."""
     return (Rule(from_s, until_s, one, other, cut=True), Rule(from_s, until_s, other, one, cut=True))
 
--- a/plankroute/lab/gated.py
+++ b/plankroute/lab/gated.py
@@ -1,4 +1,5 @@
-"""A steward that waits at a gate: `python -m plankroute.lab.gated FD`. It has imported all, and starts when the
+"""A steward that waits at a gate: `python -m plankroute.lab.gated FD`. It has imported all, and starts when
+the
 other end of that pipe is closed: hundreds start at one moment, as when power comes back to a site."""
 
 import os
--- a/plankroute/lab/history.py
+++ b/plankroute/lab/history.py
@@ -1,4 +1,5 @@
-"""What all members were told, in one order of time; and what was done to them. Kept apart from who judges it."""
+"""What all members were told, in one order of time; and what was done to them. Kept apart from who judges
+it."""
 
 import msgspec
 
--- a/plankroute/lab/hosts.py
+++ b/plankroute/lab/hosts.py
@@ -1,4 +1,5 @@
-"""Stand-in hosts that count probes and connections each 100 ms, and proxies that say hello once and read on."""
+"""Stand-in hosts that count probes and connections each 100 ms, and proxies that say hello once and read
+on."""
 
 import asyncio
 import time
@@ -25,7 +26,9 @@
         for host, address in enumerate(self.addresses):
             where, _, port = address.rpartition(":")
 
-            async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter, host: int = host) -> None:
+            async def serve(reader: asyncio.StreamReader,
+                            writer: asyncio.StreamWriter,
+                            host: int = host) -> None:
                 await self.serve(host, reader, writer)
             self.servers.append(await asyncio.start_server(serve, where, int(port), backlog=512))
 
--- a/plankroute/lab/links.py
+++ b/plankroute/lab/links.py
@@ -1,7 +1,10 @@
-"""A faulty link between each ordered pair of real stewards: a datagram goes on late, twice, or not, as a script says.
+"""A faulty link between each ordered pair of real stewards: a datagram goes on late, twice, or not, as a
+script says.
 
-Each steward is known to the others by the address of its link. What comes there from one steward goes on to the
-other from the first one's link, so that nobody sees another's real address; no right beyond an ordinary user's is
+Each steward is known to the others by the address of its link. What comes there from one steward goes on to
+the
+other from the first one's link, so that nobody sees another's real address; no right beyond an ordinary
+user's is
 needed."""
 
 import asyncio
@@ -80,7 +83,8 @@
 class Streams:
     """Links of TCP between stewards, slow or cut by script: a cut says nothing, as on a real network."""
 
-    AT_ONCE, LOOK_S = 8192, 0.05  # bytes carried at a time; how often a cut link looks whether it is whole again
+    AT_ONCE, LOOK_S = 8192, 0.05  # bytes carried at a time; how often a cut link looks whether it is whole
+    # again
 
     def __init__(self, real: list[Address], known: list[Address], script: Script,
                  script_us: Callable[[], int | None]) -> None:
@@ -92,7 +96,9 @@
 
     async def open(self) -> None:
         for member, address in enumerate(self.known):
-            self.servers.append(await asyncio.start_server(partial(self.serve, member), *address, limit=self.AT_ONCE))
+            self.servers.append(await asyncio.start_server(partial(self.serve, member),
+                                                           *address,
+                                                           limit=self.AT_ONCE))
 
     async def serve(self, receiver: int, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         sender = self.members.get(writer.get_extra_info("peername")[0], -1)
--- a/plankroute/lab/listservice.py
+++ b/plankroute/lab/listservice.py
@@ -1,6 +1,8 @@
-"""A stand-in for the list service, from the published form of discovery: whole list, watch, 503 with Retry-After.
+"""A stand-in for the list service, from the published form of discovery: whole list, watch, 503 with
+Retry-After.
 
-Bounded rate, outages, restarts with revisions that begin anew, slow bodies, half a list, by script. It counts; it
+Bounded rate, outages, restarts with revisions that begin anew, slow bodies, half a list, by script. It
+counts; it
 judges nothing."""
 
 import asyncio
@@ -49,7 +51,11 @@
     bytes_a_second: float | None = None
 
 
-def target(host: int, address: str, zone: str = "a", state: str = "SERVING", boot_ms: int = 0) -> dict[str, Any]:
+def target(host: int,
+           address: str,
+           zone: str = "a",
+           state: str = "SERVING",
+           boot_ms: int = 0) -> dict[str, Any]:
     return {"uid": f"s-{host:05d}", "endpoint": address, "az": zone, "model": "m", "pod_group": host // 4,
             "state": state, "capacity_hint": 1.0, "boot_ms": boot_ms}
 
@@ -61,7 +67,8 @@
         self.targets, self.behaviour, self.revision = targets, behaviour, revision
         self.first_revision = revision
         self.changes: list[tuple[int, dict[str, Any]]] = []
-        self.allowed = Tokens(behaviour.rate, max(1.0, behaviour.rate / 4))  # bunches of a quarter of a second
+        self.allowed = Tokens(behaviour.rate, max(1.0, behaviour.rate / 4))  # bunches of a quarter of a
+        # second
         self.server: asyncio.Server | None = None
         self.opened_s, self.bytes, self.calls = 0.0, 0, 0
         self.bins: Counter[int] = Counter()
@@ -155,7 +162,8 @@
     async def refuse(self, writer: asyncio.StreamWriter, mode: Mode) -> None:
         again = self.behaviour.retry_after if mode is not Mode.DOWN else None
         lines = f"Retry-After: {again}\r\n" if again is not None else ""
-        self.write(writer, f"HTTP/1.1 503 Busy\r\n{lines}Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
+        self.write(writer,
+                   f"HTTP/1.1 503 Busy\r\n{lines}Content-Length: 0\r\nConnection: close\r\n\r\n".encode())
         await writer.drain()
         writer.close()
         await writer.wait_closed()
@@ -207,7 +215,8 @@
     def busiest(self, over_s: float = 1.0) -> int:
         """The most calls within so long."""
         width = round(over_s / BIN_S)
-        return max((sum(self.bins[at + place] for place in range(width)) for at in list(self.bins)), default=0)
+        return max((sum(self.bins[at + place] for place in range(width)) for at in list(self.bins)),
+                   default=0)
 
     def close(self) -> None:
         for task in list(self.tasks):
--- a/plankroute/lab/measure.py
+++ b/plankroute/lab/measure.py
@@ -1,4 +1,5 @@
-"""Measures ways of membership in simulated time: the same faults and seeds for each, figures beside what is aimed at."""
+"""Measures ways of membership in simulated time: the same faults and seeds for each, figures beside what is
+aimed at."""
 
 import sys
 import tracemalloc
@@ -88,8 +89,10 @@
 def lossy(job: Job) -> dict[str, Any]:
     run = staged(job, Rule(loss=0.3)).run(job.seconds)
     wrong = checkers.wrongly_gone(run.history)
-    return {"wrong": len(wrong), "wrong_members": len({(entry.subject, entry.incarnation) for entry in wrong}),
-            "bytes_s": run.bytes / job.members / job.seconds}
+    return {
+        "wrong": len(wrong), "wrong_members": len({(entry.subject, entry.incarnation) for entry in wrong}),
+        "bytes_s": run.bytes / job.members / job.seconds
+    }
 
 
 def paused(job: Job) -> dict[str, Any]:
@@ -101,8 +104,10 @@
     times = checkers.detection_us(run.history, job.members - 1, int((CALM_S + 15) * SECOND),
                                   range(job.members - 1)).values()
     wrong = checkers.wrongly_gone(run.history)
-    return {"wrong": len(wrong), "wrong_members": len({(entry.subject, entry.incarnation) for entry in wrong}),
-            "missed": list(times).count(None), "times_us": [time for time in times if time is not None]}
+    return {
+        "wrong": len(wrong), "wrong_members": len({(entry.subject, entry.incarnation) for entry in wrong}),
+        "missed": list(times).count(None), "times_us": [time for time in times if time is not None]
+    }
 
 
 def healed(job: Job) -> dict[str, Any]:
@@ -143,8 +148,8 @@
     before = tracemalloc.get_traced_memory()[0]
     core = plankroute_member(0, 1, 1, ())
     for member in range(1, members):
-        record = Record(f"steward-{member:05d}", f"10.0.{member // 250}.{member % 250}:3001", "zone-a", member,
-                        1_800_000_000_000_000 + member)
+        record = Record(f"steward-{member:05d}", f"10.0.{member // 250}.{member % 250}:3001", "zone-a",
+                        member, 1_800_000_000_000_000 + member)
         core.deliver(SECOND + member, [Heard("10.0.0.1:3001", Piece((record,)))])
     used = tracemalloc.get_traced_memory()[0] - before
     tracemalloc.stop()
@@ -209,7 +214,8 @@
 def table(figures: Figures) -> str:
     lines = []
     for row in figures.rows:
-        said = "  ".join(f"{name} {'never' if value is None else f'{value:g}'}" for name, value in row.figures.items())
+        said = "  ".join(f"{name} {'never' if value is None else f'{value:g}'}"
+                         for name, value in row.figures.items())
         mark = "  MISSED: " + ", ".join(row.missed) if row.missed else ""
         lines.append(f"{row.kind:7} {row.members:5} {row.way:11} seeds {row.seeds:2}  {said}{mark}")
     return "\n".join(lines)
--- a/plankroute/lab/processes.py
+++ b/plankroute/lab/processes.py
@@ -1,4 +1,5 @@
-"""Real stewards as processes: started, paused, killed and restarted by script, their logs gathered into one history.
+"""Real stewards as processes: started, paused, killed and restarted by script, their logs gathered into one
+history.
 
 Ends no process but those that it started, each by its handle."""
 
@@ -31,12 +32,15 @@
 JOIN_S = 60.0  # for all to join: some hundred interpreters may start at once
 LOOK_S = 0.02
 DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of Linux
-SETTINGS = {"classes": [{"name": "lookup", "idempotency": "retryable"}], "dcs": ["a", "b", "c"],
-            "machineTypes": ["m"], "familyInfo": {"proxies": 9, "pushRate": 2000.0, "queueCap": 4000, "envelope": 6}}
+SETTINGS = {
+    "classes": [{"name": "lookup", "idempotency": "retryable"}], "dcs": ["a", "b", "c"],
+    "machineTypes": ["m"], "familyInfo": {"proxies": 9, "pushRate": 2000.0, "queueCap": 4000, "envelope": 6}
+}
 
 
 def die_with_the_lab() -> None:
-    """Guards against stewards that outlive a lab that was itself killed: they hold their addresses for good."""
+    """Guards against stewards that outlive a lab that was itself killed: they hold their addresses for
+    good."""
     ctypes.CDLL(None).prctl(DEATH_SIGNAL, signal.SIGKILL)
 
 
@@ -64,10 +68,12 @@
 class Fleet:
     def __init__(self, plan: Plan) -> None:
         self.plan, self.history = plan, History(plan.members)
-        self.known_port, self.peer_port = (REAL_PORT, LINK_PORT) if plan.is_direct else (KNOWN_PORT, PEER_PORT)
+        self.known_port, self.peer_port = (REAL_PORT, LINK_PORT) if plan.is_direct else (KNOWN_PORT,
+                                                                                         PEER_PORT)
         self.real, self.known = self.addresses(REAL_PORT), self.addresses(self.known_port)
         self.links = Links(self.real, self.known, plan.script, self.script_us)
-        self.streams = Streams(self.addresses(LINK_PORT), self.addresses(PEER_PORT), plan.script, self.script_us)
+        self.streams = Streams(self.addresses(LINK_PORT), self.addresses(PEER_PORT), plan.script,
+                               self.script_us)
         self.places = {self.name(member): member for member in reversed(range(plan.members))}
         self.running: dict[int, asyncio.subprocess.Process] = {}
         self.lines: list[deque[dict[str, Any]]] = [deque(maxlen=KEPT_LINES) for _ in range(plan.members)]
@@ -97,25 +103,36 @@
 
     def own_file(self, member: int) -> dict[str, Any]:
         host = self.real[member][0]
-        seeds = [f"{self.known[seed][0]}:{self.known_port}" for seed in self.plan.seeds if seed < self.plan.members]
+        seeds = [
+            f"{self.known[seed][0]}:{self.known_port}" for seed in self.plan.seeds if seed < self.plan.members
+        ]
         own: dict[str, Any] = {**self.plan.more}
         if self.plan.has_members:
-            own["membership"] = {"group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{self.known_port}",
-                                 "seeds": seeds, **self.plan.own}
+            own["membership"] = {
+                "group": "lab", "listen": f"{host}:{REAL_PORT}", "advertise": f"{host}:{self.known_port}",
+                "seeds": seeds, **self.plan.own
+            }
         if self.plan.has_links:
-            own["coldstart"] = {**own["coldstart"], "links": {"listen": f"{host}:{LINK_PORT}", "port": self.peer_port,
-                                                              **own["coldstart"].get("links", {})}}
+            own["coldstart"] = {
+                **own["coldstart"], "links": {
+                    "listen": f"{host}:{LINK_PORT}", "port": self.peer_port,
+                    **own["coldstart"].get("links", {})
+                }
+            }
         return own
 
     def configuration(self, member: int) -> dict[str, Any]:
         settings = {**SETTINGS, "zone": member % 3, "rank": member, "instances": self.plan.members}
-        return {"name": self.name(member), "listen": f"{self.real[member][0]}:{STREAM_PORT}", "discovery": NOWHERE,
-                "seed": f"{member + 1:x}", "limits": {"memory_mb": 192, "sockets": 1024},
-                "known": {"rev": 1, "all": True, "targets": []}, **self.plan.told, **self.instead.get(member, {}),
-                "settings": {**settings, **self.plan.settings}}
+        return {
+            "name": self.name(member), "listen": f"{self.real[member][0]}:{STREAM_PORT}",
+            "discovery": NOWHERE, "seed": f"{member + 1:x}", "limits": {"memory_mb": 192, "sockets": 1024},
+            "known": {"rev": 1, "all": True, "targets": []}, **self.plan.told,
+            **self.instead.get(member, {}), "settings": {**settings, **self.plan.settings}
+        }
 
     async def start(self, member: int) -> None:
-        folder, environment = Path(self.folder.name), {"PYTHONPATH": ":".join(sys.path), "PYTHONDONTWRITEBYTECODE": "1"}
+        folder, environment = Path(
+            self.folder.name), {"PYTHONPATH": ":".join(sys.path), "PYTHONDONTWRITEBYTECODE": "1"}
         files = {"GW_CONFIG": (folder / f"told{member}.json", self.configuration(member))}
         if not self.plan.is_bare:
             files[OWN_FILE] = folder / f"own{member}.json", self.own_file(member)
@@ -134,7 +151,8 @@
         self.keep(self.gather(member, process))
 
     def are_waiting(self) -> bool:
-        return all(any(line.get("event") == "waits" for line in self.lines[member]) for member in self.running)
+        return all(
+            any(line.get("event") == "waits" for line in self.lines[member]) for member in self.running)
 
     async def open_gate(self) -> bool:
         """All start at one moment, once all are there; the history's clock starts anew."""
@@ -161,7 +179,8 @@
             said["at_us"] = self.now_us()
             self.lines[member].append(said)
             kind, _, change = str(said.get("event", "")).partition("_")
-            if kind in ("member", "members") and (subject := self.places.get(said.get("member", ""))) is not None:
+            if kind in ("member", "members") and (subject := self.places.get(said.get("member",
+                                                                                      ""))) is not None:
                 self.history.entries.append(Entry(said["at_us"], member, subject, change, said["life"],
                                                   said["incarnation"]))
 
@@ -184,7 +203,8 @@
                    if self.name(one) != self.name(other))
 
     async def launch(self) -> bool:
-        """Links, then all processes that are there from the start, until all know all; False: they did not."""
+        """Links, then all processes that are there from the start, until all know all; False: they did
+        not."""
         if not self.plan.is_direct:
             await self.links.open()
         for member in self.present():
--- a/plankroute/lab/scenarios.py
+++ b/plankroute/lab/scenarios.py
@@ -1,4 +1,5 @@
-"""Hard cases for several real stewards: each a script, a wait for what has to come, and a judge of the history."""
+"""Hard cases for several real stewards: each a script, a wait for what has to come, and a judge of the
+history."""
 
 import asyncio
 import random
@@ -45,7 +46,8 @@
 
 
 class Scenario(msgspec.Struct, frozen=True):
-    """`plan(processes, seed, full)`; `holds`: what is waited for after the script; `act`: done after its steps."""
+    """`plan(processes, seed, full)`; `holds`: what is waited for after the script; `act`: done after its
+    steps."""
 
     plan: Callable[[int, int, bool], Plan]
     holds: Callable[[Trial], bool]
@@ -95,11 +97,13 @@
         trial.notes["pauses"] = sum(done.act == Act.PAUSE.value for done in trial.history.done)
         return trial.wrongly()
 
-    return Scenario(script, lambda trial: trial.gone_by_all((trial.members - 1,), range(trial.members - 1)), judge)
+    return Scenario(script, lambda trial: trial.gone_by_all((trial.members - 1,), range(trial.members - 1)),
+                    judge)
 
 
 def cut(rules: Callable[[int], tuple[Rule, ...]], is_whole: bool) -> Scenario:
-    """One-sided: one verdict on the third member by all others, no view that changes twice, and agreement after."""
+    """One-sided: one verdict on the third member by all others, no view that changes twice, and agreement
+    after."""
     def judge(trial: Trial) -> list[str]:
         history, fleet = trial.history, trial.fleet
         from_us, until_us = fleet.at(1.0), fleet.at(1.0 + CUT_S)
@@ -114,9 +118,9 @@
         trial.notes["agreed_after_s"] = agreed_s(trial, until_us, range(trial.members))
         return out
 
-    return Scenario(lambda n, seed, full: plan(n, seed, *rules(n)),
-                    lambda trial: trial.agreed_us(trial.fleet.at(1.0 + CUT_S), range(trial.members)) is not None,
-                    judge)
+    return Scenario(
+        lambda n, seed, full: plan(n, seed, *rules(n)),
+        lambda trial: trial.agreed_us(trial.fleet.at(1.0 + CUT_S), range(trial.members)) is not None, judge)
 
 
 def agreed_s(trial: Trial, from_us: int, alive: Iterable[int]) -> float | None:
@@ -138,22 +142,30 @@
         trial.notes["agreed_after_s"] = agreed_s(trial, healed_us, range(trial.members))
         return out
 
-    return Scenario(lambda n, seed, full: plan(n, seed, *partition(parts(n), 1.0, 1.0 + CUT_S)),
-                    lambda trial: trial.agreed_us(trial.fleet.at(1.0 + CUT_S), range(trial.members)) is not None,
-                    judge)
+    return Scenario(
+        lambda n, seed, full: plan(n, seed, *partition(parts(n), 1.0, 1.0 + CUT_S)),
+        lambda trial: trial.agreed_us(trial.fleet.at(1.0 + CUT_S), range(trial.members)) is not None, judge)
 
 
 def restarted() -> Scenario:
-    """Within half a second, under the same name and address, with nothing kept: a new life, never called gone."""
+    """Within half a second, under the same name and address, with nothing kept: a new life, never called
+    gone."""
     def lives(trial: Trial, observer: int) -> set[int]:
-        return {entry.life for entry in trial.history.of("joined") if (entry.observer, entry.subject) == (observer, 4)}
+        return {
+            entry.life for entry in trial.history.of("joined")
+            if (entry.observer, entry.subject) == (observer, 4)
+        }
 
     def judge(trial: Trial) -> list[str]:
-        return trial.wrongly() + [f"{entry.observer} called {entry.subject} gone" for entry in trial.history.of("gone")]
+        return trial.wrongly() + [
+            f"{entry.observer} called {entry.subject} gone" for entry in trial.history.of("gone")
+        ]
 
-    return Scenario(lambda n, seed, full: plan(n, seed, steps=[Step(1.0, Act.KILL, 4), Step(1.3, Act.START, 4)]),
-                    lambda trial: all(len(lives(trial, one)) == 2 for one in range(trial.members) if one != 4)
-                    and trial.fleet.have_joined(range(trial.members)), judge)
+    return Scenario(
+        lambda n, seed, full: plan(n, seed, steps=[Step(1.0, Act.KILL, 4),
+                                                   Step(1.3, Act.START, 4)]),
+        lambda trial: all(len(lives(trial, one)) == 2 for one in range(trial.members)
+                          if one != 4) and trial.fleet.have_joined(range(trial.members)), judge)
 
 
 def left() -> Scenario:
@@ -168,12 +180,14 @@
         out = ["a leave took over a second"] if worst > SECOND else []
         return out + ["a leave was counted as a failure"] * bool(trial.history.of("gone", "suspected"))
 
-    return Scenario(lambda n, seed, full: plan(n, seed, steps=[Step(1.0, Act.LEAVE, 4)]),
-                    lambda trial: {entry.observer for entry in trial.history.of("left")} == set(others(trial)), judge)
+    return Scenario(
+        lambda n, seed, full: plan(n, seed, steps=[Step(1.0, Act.LEAVE, 4)]),
+        lambda trial: {entry.observer for entry in trial.history.of("left")} == set(others(trial)), judge)
 
 
 def doubled() -> Scenario:
-    """A second process under the name of member 4: said by all, and the newer one keeps the name everywhere."""
+    """A second process under the name of member 4: said by all, and the newer one keeps the name
+    everywhere."""
     def judge(trial: Trial) -> list[str]:
         new = {entry.life for entry in trial.history.of("doubled")}
         out = [f"{entry.observer} called {entry.subject} gone" for entry in trial.history.of("gone")]
@@ -194,9 +208,10 @@
         trial.notes["joined_after_s"] = agreed_s(trial, trial.fleet.at(7.0), range(trial.members))
         return trial.wrongly() + ["joined without a seed"] * bool(early)
 
-    return Scenario(lambda n, seed, full: plan(n, seed, steps=[Step(7.0, Act.START, 0)], seeds=(0,),
-                                               absent=tuple(range(n))),
-                    lambda trial: trial.fleet.have_joined(range(trial.members)), judge, start_all_but_the_seed)
+    return Scenario(
+        lambda n, seed, full: plan(
+            n, seed, steps=[Step(7.0, Act.START, 0)], seeds=(0,), absent=tuple(range(n))),
+        lambda trial: trial.fleet.have_joined(range(trial.members)), judge, start_all_but_the_seed)
 
 
 async def start_all_but_the_seed(trial: Trial) -> None:
@@ -312,7 +327,11 @@
     return Result(name, processes, objections, trial.notes)
 
 
-async def run_all(names: Iterable[str], processes: int, seed: int, full: bool, at_once: int = 6) -> list[Result]:
+async def run_all(names: Iterable[str],
+                  processes: int,
+                  seed: int,
+                  full: bool,
+                  at_once: int = 6) -> list[Result]:
     """Side by side, some at a time; each on addresses of its own."""
     gate = asyncio.Semaphore(at_once)
 
--- a/plankroute/lab/simulated.py
+++ b/plankroute/lab/simulated.py
@@ -45,8 +45,8 @@
 
 def plankroute_member(member: int, life: int, seed: int, seeds: tuple[str, ...]) -> Membership:
     """The chosen way."""
-    facts = MemberFacts(name_of(member), address_of(member), f"z{member % 3}", "lab", seeds, USUAL_PATIENCE_US,
-                        USUAL_PROBE_US, FORGET_US)
+    facts = MemberFacts(name_of(member), address_of(member), f"z{member % 3}", "lab", seeds,
+                        USUAL_PATIENCE_US, USUAL_PROBE_US, FORGET_US)
     return Membership(facts, seed * 100_003 + member * 31 + life, (member << 16) + life, WALL_US + life,
                       CODEC.size)
 
--- a/plankroute/lab/skewed.py
+++ b/plankroute/lab/skewed.py
@@ -1,4 +1,5 @@
-"""A steward whose clock of the day jumps: `python -m plankroute.lab.skewed SECONDS_AFTER_START JUMP_SECONDS`."""
+"""A steward whose clock of the day jumps: `python -m plankroute.lab.skewed SECONDS_AFTER_START
+JUMP_SECONDS`."""
 
 import sys
 import time
--- a/plankroute/membership/claim.py
+++ b/plankroute/membership/claim.py
@@ -23,7 +23,8 @@
 
 
 class Claim:
-    """One claim a process, soon after its start: two that start together raise each other once, then one yields."""
+    """One claim a process, soon after its start: two that start together raise each other once, then one
+    yields."""
 
     def __init__(self, born_us: int) -> None:
         self.born_us, self.claimed = born_us, False
--- a/plankroute/membership/detector.py
+++ b/plankroute/membership/detector.py
@@ -6,8 +6,10 @@
 
 from plankroute.chance import Chance
 
-TRY_AGAIN_US = 200_000  # between tries of a probe: thirteen in the usual patience. With 30% of datagrams lost one
-# probe in 90,000 then goes unanswered, and 300 members send 1.3 KB/s each; at 350 ms it is one in 500, and the
+TRY_AGAIN_US = 200_000  # between tries of a probe: thirteen in the usual patience. With 30% of datagrams lost
+# one
+# probe in 90,000 then goes unanswered, and 300 members send 1.3 KB/s each; at 350 ms it is one in 500, and
+the
 # suspicions and denials that follow make it 4 KB/s
 HELPERS = 1  # members sent on an errand at each try from then on; another one each time
 ERRANDS_US = 3 * TRY_AGAIN_US  # tries of its own come first: they cost a quarter, and most often do
@@ -37,7 +39,8 @@
 
 
 class Detector:
-    """Each member in turn, in an order that is drawn anew each round: the time to a first probe is bounded."""
+    """Each member in turn, in an order that is drawn anew each round: the time to a first probe is
+    bounded."""
 
     def __init__(self, probe_us: int, patience_us: int, chance: Chance) -> None:
         self.probe_us, self.patience_us, self.chance = probe_us, patience_us, chance
@@ -50,7 +53,8 @@
     def hear_suspected(self, place: int, living: int) -> None:
         """A few look for themselves at once, drawn by each alone.
 
-        Guards against a verdict that waits for chance to bring its voters round, where half of a group is gone.
+        Guards against a verdict that waits for chance to bring its voters round, where half of a group is
+        gone.
         """
         if place not in self.by_place and self.chance.draw() * living < MORE:
             self.urgent.append(place)
--- a/plankroute/membership/facts.py
+++ b/plankroute/membership/facts.py
@@ -7,7 +7,8 @@
 
 @dataclass(frozen=True, slots=True)
 class MemberFacts:
-    """Times are microseconds. `seeds`: addresses that are asked until somebody answers, and now and then later."""
+    """Times are microseconds. `seeds`: addresses that are asked until somebody answers, and now and then
+    later."""
 
     name: str
     address: str
--- a/plankroute/membership/group.py
+++ b/plankroute/membership/group.py
@@ -1,4 +1,5 @@
-"""The door of membership: events and the time in, actions out. What the program is told of others is said here;
+"""The door of membership: events and the time in, actions out. What the program is told of others is said
+here;
 no rule of the steward may come to rest on it."""
 
 from collections.abc import Callable
@@ -119,7 +120,8 @@
                     self.give(source, set(said.want), [])
 
     def take_all(self, records: tuple[Record, ...], sender: Record | None = None, rides: bool = True) -> None:
-        """The sender's own record counts as word from it, whatever stands in it. `rides`: what is new is passed
+        """The sender's own record counts as word from it, whatever stands in it. `rides`: what is new is
+        passed
         on; what came by an exchange reaches others by theirs."""
         for record in records:
             if record.name == self.facts.name:
@@ -244,7 +246,8 @@
                       Errand(ask.number, record.address, self.view.own(), rumours))
 
     def drawn(self, number: int, without: int = 0) -> list[int]:
-        """Different living members that nobody complains of; fewer where there are no more, or chance is unkind."""
+        """Different living members that nobody complains of; fewer where there are no more, or chance is
+        unkind."""
         living = self.view.living()
         if number >= len(living):
             return [place for place in living if place != without]
@@ -297,7 +300,8 @@
         self.take(msgspec.structs.replace(record, standing=Standing.SUSPECTED, voters=(self.verdicts.mark,)))
 
     def recall(self) -> None:
-        """Guards against a cut that never heals, and a start before all seeds: nobody is given up for good."""
+        """Guards against a cut that never heals, and a start before all seeds: nobody is given up for
+        good."""
         seeds = [seed for seed in self.facts.seeds if not self.is_living_seed(seed)]
         gone = sorted(self.view.gone_places)
         if seeds and (not gone or self.chance.draw() < SEED_SHARE):
@@ -307,7 +311,8 @@
             self.send(record.address, self.ping(NO_NUMBER, record))
 
     def is_living_seed(self, seed: str) -> bool:
-        """The place that had the address last is looked at first: a search each time would cost the whole view."""
+        """The place that had the address last is looked at first: a search each time would cost the whole
+        view."""
         if seed == self.facts.address:
             return True
         place = self.seed_places.get(seed, 0)
--- a/plankroute/membership/spreading.py
+++ b/plankroute/membership/spreading.py
@@ -1,4 +1,5 @@
-"""How news spreads: records that ride on what is sent anyway, and at once to a few. Bounded in size, number, rate."""
+"""How news spreads: records that ride on what is sent anyway, and at once to a few. Bounded in size, number,
+rate."""
 
 import math
 from collections.abc import Callable
--- a/plankroute/membership/suspicion.py
+++ b/plankroute/membership/suspicion.py
@@ -9,7 +9,8 @@
 
 
 def votes_needed(unsuspected: int) -> int:
-    """Of `unsuspected` members that nobody complains of, this one among them, half have to agree, four at most.
+    """Of `unsuspected` members that nobody complains of, this one among them, half have to agree, four at
+    most.
 
     Guards against a verdict that can't come because those who would vote are dead too: half of a group
     killed at once, a small part behind a cut.
@@ -25,13 +26,15 @@
     """How long a suspicion stands at least before it may become a verdict.
 
     Nothing where four agree; the fewer have to, the longer a denial is waited for (one alone: the whole
-    patience). A small part of the group waits the patience once more: most likely it is itself what is cut off.
+    patience). A small part of the group waits the patience once more: most likely it is itself what is cut
+    off.
     """
     few = patience_us * (MOST_VOTES - needed) // (MOST_VOTES - 1)
     return few + (patience_us if unsuspected < SMALL_PART * members else 0)
 
 
-def is_verdict(voters: int, mine: bool, hears_accused: bool, needed: int, stood_us: int, least_us: int) -> bool:
+def is_verdict(voters: int, mine: bool, hears_accused: bool, needed: int, stood_us: int,
+               least_us: int) -> bool:
     """`mine`: this member is among the voters. `hears_accused`: one that it complains of still speaks to it.
 
     Guards against a one-sided cut: who hears those that do not answer it is not heard itself, and its own
--- a/plankroute/membership/verdicts.py
+++ b/plankroute/membership/verdicts.py
@@ -34,7 +34,8 @@
             self.greet(place, before, after, now_us)
         match after.standing:
             case Standing.SUSPECTED:
-                if after.key() != before.key() or before.standing is not Standing.SUSPECTED or after is before:
+                if after.key() != before.key(
+                ) or before.standing is not Standing.SUSPECTED or after is before:
                     self.view.suspected_us[place] = now_us
                 self.judge(place, now_us)
             case Standing.GONE:
--- a/plankroute/membership/views.py
+++ b/plankroute/membership/views.py
@@ -8,7 +8,8 @@
 from plankroute.membership.records import Record, Standing, canonical, join
 
 MOST_MEMBERS = 4096  # four times the largest group that was measured; a liar can make a view no longer
-BUCKETS = 32  # of the sums by which views are compared: at 1,000 members one holds about a datagram and a half
+BUCKETS = 32  # of the sums by which views are compared: at 1,000 members one holds about a datagram and a
+# half
 SUM_BYTES = 8
 NEVER = -(1 << 60)
 
@@ -119,7 +120,8 @@
         return b"".join(value.to_bytes(SUM_BYTES) for value in self.sums)
 
     def differing(self, sums: bytes) -> list[int]:
-        """Numbers of the buckets in which another's view is not this one; none where the sums can't be read."""
+        """Numbers of the buckets in which another's view is not this one; none where the sums can't be
+        read."""
         if len(sums) != BUCKETS * SUM_BYTES:
             return []
         mine = self.bucket_sums()
--- a/plankroute/net/careful.py
+++ b/plankroute/net/careful.py
@@ -1,4 +1,5 @@
-"""Discovery called with care: one call a round instead of as many as fail, the watch alone, Retry-After heeded.
+"""Discovery called with care: one call a round instead of as many as fail, the watch alone, Retry-After
+heeded.
 
 When is `coldstart.calls`'s to decide; here are the sockets, the clock, log lines and counters."""
 
@@ -42,7 +43,8 @@
             event = await self.call_once()
 
     async def call_once(self) -> Event:
-        """One watch from the revision that is held, to its end. A list held is never asked for whole again."""
+        """One watch from the revision that is held, to its end. A list held is never asked for whole
+        again."""
         self.book.count("sent.calls")
         before, began_us, call = self.times_taken, now_us(), None
         try:
--- a/plankroute/net/links.py
+++ b/plankroute/net/links.py
@@ -1,4 +1,5 @@
-"""Links between stewards, over TCP: lists handed on in order and resumed where they broke, beats, probes' results.
+"""Links between stewards, over TCP: lists handed on in order and resumed where they broke, beats, probes'
+results.
 
 Sockets and bounds only; whom to follow is `coldstart.follow`'s to decide."""
 
@@ -8,8 +9,8 @@
 from typing import Protocol
 from zlib import crc32
 
-from plankroute.coldstart.frames import (PART_BYTES, VERSION, Beat, Begin, Frame, FrameCutter, Hello, Part, Probed,
-                                         write_frame)
+from plankroute.coldstart.frames import (PART_BYTES, VERSION, Beat, Begin, Frame, FrameCutter, Hello, Part,
+                                         Probed, write_frame)
 from plankroute.coldstart.lists import HeldList
 from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
@@ -17,7 +18,8 @@
 BEAT_S = 0.5  # between beats: four in the shortest time after which somebody is left
 HELLO_S, DIAL_S = 2.0, 1.0
 STUCK_S = 5.0  # for one part to be taken by the kernel: three of them in the stall of who reads it
-MOST_LINKS = 512  # taken at once: two of each of 300 stewards spread over three watchers, and more than twice that
+MOST_LINKS = 512  # taken at once: two of each of 300 stewards spread over three watchers, and more than twice
+# that
 WAITING_BYTES = 65536  # for the kernel: a part being written, and the next
 READ_AT_ONCE = 65536
 MOST_RESULTS = 256  # of probes in one frame
@@ -109,7 +111,8 @@
             writer.transport.abort()
 
     async def hello(self, reader: asyncio.StreamReader, cutter: FrameCutter) -> Hello | None:
-        """Guards against strangers, other versions and other groups: they have said nothing of use by then."""
+        """Guards against strangers, other versions and other groups: they have said nothing of use by
+        then."""
         async with asyncio.timeout(HELLO_S):
             frames: list[Frame | None] = []
             while not frames:
@@ -185,7 +188,8 @@
         why = "ended"
         try:
             async with asyncio.timeout(DIAL_S):
-                reader, self.writer = await asyncio.open_connection(*self.address, local_addr=(self.own_host, 0))
+                reader, self.writer = await asyncio.open_connection(*self.address,
+                                                                    local_addr=(self.own_host, 0))
             self.writer.transport.set_write_buffer_limits(high=WAITING_BYTES)
             self.writer.write(write_frame(self.hello))
             cutter = FrameCutter()
--- a/plankroute/net/members.py
+++ b/plankroute/net/members.py
@@ -1,4 +1,5 @@
-"""Membership on sockets: datagrams in and out, its wake-ups, log lines and counters. Decides nothing about anybody.
+"""Membership on sockets: datagrams in and out, its wake-ups, log lines and counters. Decides nothing about
+anybody.
 
 Whatever fails here ends here: the steward goes on without it."""
 
@@ -18,17 +19,20 @@
 from plankroute.membership.codec import Codec, Unread
 from plankroute.membership.facts import MOST_DATAGRAM, MemberFacts
 from plankroute.membership.group import Membership
-from plankroute.membership.messages import (Action, BeatDue, Change, Counted, Event, Finished, Heard, LeaveAsked,
-                                            Rest, SeedsChanged, Send, Told, ViewAsked)
+from plankroute.membership.messages import (Action, BeatDue, Change, Counted, Event, Finished, Heard,
+                                            LeaveAsked, Rest, SeedsChanged, Send, Told, ViewAsked)
 from plankroute.membership.views import MOST_MEMBERS, mark_of
 from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
 from plankroute.ownfile import MembershipPart
 from plankroute.tokens import Tokens
 
-TAKEN_BYTES = 262144  # the kernel's buffer: two seconds' datagrams of a large group, for when the process stands still
-UNSENT_BYTES = 65536  # waiting for the kernel: beyond, datagrams are dropped, which the core bears as any loss
-WORKED_RATE, WORKED_BURST = 2000, 4000  # datagrams looked at a second: twenty times a large group's in its worst hour
+TAKEN_BYTES = 262144  # the kernel's buffer: two seconds' datagrams of a large group, for when the process
+# stands still
+UNSENT_BYTES = 65536  # waiting for the kernel: beyond, datagrams are dropped, which the core bears as any
+# loss
+WORKED_RATE, WORKED_BURST = 2000, 4000  # datagrams looked at a second: twenty times a large group's in its
+# worst hour
 OPEN_EVERY_S = 1.0  # between tries for an address that is held
 LEAVE_S = 0.4  # for the last words: two beats, well within what operators leave after SIGTERM
 SELF = frozenset({Change.CALLED_GONE, Change.DISPLACED, Change.ALONE, Change.IN_COMPANY})
@@ -53,11 +57,12 @@
 
 
 class Members(asyncio.DatagramProtocol):
-    def __init__(self, part: MembershipPart, own: Self, book: Book, put: Callable[[notes.Note], None]) -> None:
+    def __init__(self, part: MembershipPart, own: Self, book: Book, put: Callable[[notes.Note],
+                                                                                  None]) -> None:
         self.part, self.book, self.put = part, book, put
         self.codec = Codec(part.group)
-        self.core = Membership(member_facts(part, own), own.seed, secrets.randbits(62), time.time_ns() // 1000,
-                               self.codec.size)
+        self.core = Membership(member_facts(part, own), own.seed, secrets.randbits(62),
+                               time.time_ns() // 1000, self.codec.size)
         self.worked = Tokens(WORKED_RATE, WORKED_BURST)
         self.transport: asyncio.DatagramTransport | None = None
         self.wake: asyncio.TimerHandle | None = None
@@ -99,7 +104,8 @@
             self.work([Heard(f"{addr[0]}:{addr[1]}", said)])
 
     def is_here(self, host: str) -> bool:
-        """Views are told on this machine alone: a short question must not send long answers to third parties."""
+        """Views are told on this machine alone: a short question must not send long answers to third
+        parties."""
         return host.startswith("127.") or host == host_and_port(self.part.listen)[0]
 
     def error_received(self, exc: OSError) -> None:
--- a/plankroute/net/shared.py
+++ b/plankroute/net/shared.py
@@ -10,8 +10,8 @@
 import orjson
 
 from plankroute.coldstart.calls import Began, CallFacts, Caller, Event
-from plankroute.coldstart.follow import (BEAT_US, Action, BeatDue, Dial, Ended, Follow, FollowFacts, Hang, Holds,
-                                         Living, Moved, Noted, Said, Watch)
+from plankroute.coldstart.follow import (BEAT_US, Action, BeatDue, Dial, Ended, Follow, FollowFacts, Hang,
+                                         Holds, Living, Moved, Noted, Said, Watch)
 from plankroute.coldstart.follow import Event as FollowEvent
 from plankroute.coldstart.frames import VERSION, Beat, Begin, Frame, Hello, Part, Probed
 from plankroute.coldstart.lists import HeldList, Incoming
@@ -21,7 +21,8 @@
 from plankroute.net.links import LinkClient, LinkServer
 from plankroute.net.members import Members
 
-PLACE_US = 200_000  # between first calls of watchers: the second one finds the list on its way to others already
+PLACE_US = 200_000  # between first calls of watchers: the second one finds the list on its way to others
+# already
 OPEN_EVERY_S = 1.0  # between tries for an address that is held
 WARNINGS = frozenset({"left_behind", "left_old", "left_ahead", "left_stalled", "began_anew", "on_its_own"})
 
@@ -110,7 +111,8 @@
         event: Event = Began()
         if place is not None:
             caller = Caller(CallFacts(place, self.roles.facts.watchers, self.call_facts.calls_a_second,
-                                      self.call_facts.pause_most_us, self.call_facts.retry_after_most_us), self.seed)
+                                      self.call_facts.pause_most_us, self.call_facts.retry_after_most_us),
+                                      self.seed)
             await asyncio.sleep(place * PLACE_US / 1e6)
             event = await self.call_once()
         await self.call_on(caller, event)
@@ -136,7 +138,8 @@
         self.work([Holds(self.held.revision, by_service)])
 
     def take_from(self, name: str, text: bytes) -> str | None:
-        """A list from another steward; why it is refused, if so. A lower revision never replaces a higher one,
+        """A list from another steward; why it is refused, if so. A lower revision never replaces a higher
+        one,
         but where the service began anew, as two that are followed say."""
         try:
             revision = orjson.loads(text)["rev"]
@@ -205,8 +208,9 @@
         partial = self.partial.partial() if self.partial and not wanted.light else None
         revision = -1 if wanted.anew else self.held.revision
         hello = Hello(VERSION, self.group, self.name, revision, wanted.light, partial)
-        self.clients[wanted.name] = LinkClient(self, wanted.name, address, host_and_port(self.listen)[0], hello,
-                                               self.hear_frame, self.ended)
+        self.clients[wanted.name] = LinkClient(self, wanted.name, address,
+                                               host_and_port(self.listen)[0], hello, self.hear_frame,
+                                               self.ended)
 
     def ended(self, client: LinkClient, why: str) -> None:
         if self.clients.get(client.name) is client:
@@ -231,4 +235,3 @@
         for client in self.clients.values():
             client.say(frame)
         self.server.share(list(frame.results))
-
--- a/plankroute/net/sharedprobes.py
+++ b/plankroute/net/sharedprobes.py
@@ -1,4 +1,5 @@
-"""Probes shared among stewards: of a survey of all hosts each steward asks its part, and takes the others' results.
+"""Probes shared among stewards: of a survey of all hosts each steward asks its part, and takes the others'
+results.
 
 Who asks is `coldstart.probers`'s to decide; a result of others goes to the core as a note with its age."""
 
@@ -67,7 +68,8 @@
         self.to_core(notes.ProbeResult(host, Outcome.ANSWERED, result.took_us, None, age_us))
 
     def on_result(self, note: Any) -> None:
-        """Of a probe of its own; an answer to a survey is told to the others. What failed is not: each steward
+        """Of a probe of its own; an answer to a survey is told to the others. What failed is not: each
+        steward
         finds that out for itself before it believes it."""
         if isinstance(note, notes.ProbeResult) and note.host in self.surveyed:
             self.surveyed.discard(note.host)
--- a/plankroute/ownfile.py
+++ b/plankroute/ownfile.py
@@ -1,4 +1,5 @@
-"""Our own JSON file: what operators switch on beside the platform's settings. Types, limits, schema, clear mistakes.
+"""Our own JSON file: what operators switch on beside the platform's settings. Types, limits, schema, clear
+mistakes.
 
 No file, or a file without a section: that part is off, and nothing of it is imported."""
 
@@ -30,9 +31,12 @@
         description="the address at which others reach it, where it is not `listen`")] = None
     seeds: Annotated[tuple[Address, ...], msgspec.Meta(
         max_length=64, description="some of the group, asked at the start; may name this steward too")] = ()
-    patience_ms: Annotated[int, msgspec.Meta(
-        ge=500, le=60_000, description="how long a member may say nothing: above the longest pause, by half a "
-        "second and the way there and back")] = 2600
+    patience_ms: Annotated[
+        int,
+        msgspec.Meta(ge=500,
+                     le=60_000,
+                     description="how long a member may say nothing: above the longest pause, by half a "
+                     "second and the way there and back")] = 2600
     probe_ms: Annotated[int, msgspec.Meta(
         ge=50, le=10_000, description="between two probes of this steward, each of another member")] = 200
     forget_s: Annotated[int, msgspec.Meta(
@@ -40,21 +44,31 @@
 
 
 class LinksPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
-    """The list through peers: a few stewards watch the list service, the others take it from them over TCP."""
+    """The list through peers: a few stewards watch the list service, the others take it from them over
+    TCP."""
 
     listen: Annotated[Address, msgspec.Meta(description="TCP address of this steward, for other stewards")]
-    port: Annotated[Annotated[int, msgspec.Meta(ge=1, le=65535)] | None, msgspec.Meta(
-        description="at which all others are reached, beside their membership addresses; else `listen`'s")] = None
+    port: Annotated[
+        Annotated[int, msgspec.Meta(ge=1, le=65535)] | None,
+        msgspec.Meta(
+            description="at which all others are reached, beside their membership addresses; else `listen`'s"
+        )] = None
     watchers: Annotated[int, msgspec.Meta(ge=1, le=16, description="of the list service, at any time")] = 3
-    stall_ms: Annotated[int, msgspec.Meta(
-        ge=1000, le=60_000, description="without a word from who is followed, it is left for the next")] = 2000
+    stall_ms: Annotated[
+        int,
+        msgspec.
+        Meta(ge=1000, le=60_000, description="without a word from who is followed, it is left for the next"
+             )] = 2000
 
 
 class ColdStartPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """A start of many stewards at once that spares the list service and the hosts (docs/coldstart.md)."""
 
-    calls_a_second: Annotated[float, msgspec.Meta(
-        ge=0.1, le=100_000, description="calls that the list service answers in a second, of all stewards")] = 20.0
+    calls_a_second: Annotated[
+        float,
+        msgspec.Meta(ge=0.1,
+                     le=100_000,
+                     description="calls that the list service answers in a second, of all stewards")] = 20.0
     stewards: Annotated[Annotated[int, msgspec.Meta(ge=1, le=10_000)] | None, msgspec.Meta(
         description="how many stewards there are at most; else as the settings state")] = None
     rank: Annotated[Annotated[int, msgspec.Meta(ge=0, le=10_000)] | None, msgspec.Meta(
@@ -63,10 +77,18 @@
         ge=1, le=3600, description="the longest round of calls to a service that goes on refusing")] = 60.0
     retry_after_most_s: Annotated[float, msgspec.Meta(
         ge=0, le=3600, description="what a Retry-After may ask for at most")] = 30.0
-    list_old_s: Annotated[float, msgspec.Meta(
-        ge=1, le=3600, description="without a word from the list for so long, drains may have been missed: said")] = 15.0
-    probers: Annotated[int, msgspec.Meta(
-        ge=0, le=100, description="stewards that probe each host when all are asked at once; 0: every steward")] = 3
+    list_old_s: Annotated[
+        float,
+        msgspec.Meta(ge=1,
+                     le=3600,
+                     description="without a word from the list for so long, drains may have been missed: said"
+                     )] = 15.0
+    probers: Annotated[
+        int,
+        msgspec.Meta(ge=0,
+                     le=100,
+                     description="stewards that probe each host when all are asked at once; 0: every steward"
+                     )] = 3
     links: LinksPart | None = None
 
 
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -1,4 +1,5 @@
-"""A start of many stewards: the list service called alone, then through peers; cores first, then real processes."""
+"""A start of many stewards: the list service called alone, then through peers; cores first, then real
+processes."""
 
 import asyncio
 from collections import Counter
@@ -10,7 +11,8 @@
 from hypothesis import strategies as st
 
 from plankroute.coldstart.calls import BURST, Began, Broke, CallFacts, Caller, Refused, retry_after_us
-from plankroute.coldstart.follow import Dial, Ended, Follow, FollowFacts, Hang, Holds, Living, Noted, Said, Watch, ranked
+from plankroute.coldstart.follow import (Dial, Ended, Follow, FollowFacts, Hang, Holds, Living, Noted, Said,
+                                         Watch, ranked)
 from plankroute.coldstart.frames import Beat, Begin, FrameCutter, Hello, Part, write_frame
 from plankroute.coldstart.lists import HeldList, Incoming
 from plankroute.coldstart.probers import Result, Survey, is_drawn, probers_of
@@ -37,7 +39,8 @@
 
 
 def test_through_an_outage_each_is_refused_twice_at_most_and_nobody_waits_long_after_it():
-    """Also the same row of rounds for all: guards against calls that come all at once when the service is back."""
+    """Also the same row of rounds for all: guards against calls that come all at once when the service is
+    back."""
     refused, served = [], []
     for caller in callers(100):
         due, times = caller.deliver(0, Began()).due_us, 0
@@ -137,8 +140,11 @@
 
 
 @settings(max_examples=60)
-@given(st.lists(st.lists(st.tuples(st.sampled_from("abcdefg"), st.sampled_from(["SERVING", "DRAINING", "DELETED"])),
-                         max_size=4), max_size=12), st.integers(0, 12))
+@given(
+    st.lists(st.lists(st.tuples(st.sampled_from("abcdefg"),
+                                st.sampled_from(["SERVING", "DRAINING", "DELETED"])),
+                      max_size=4),
+             max_size=12), st.integers(0, 12))
 def test_what_has_changed_since_a_revision_brings_any_older_list_up(steps, behind):
     held, older = HeldList(), HeldList()
     held.take({"rev": 5, "all": True, "targets": [entry(uid) for uid in "abc"]})
@@ -274,7 +280,8 @@
 
 def test_results_count_by_their_age_and_by_the_start_of_the_host():
     survey = Survey("n0", 3, 10)
-    assert survey.keep("h", Result(9000, 10 * SECOND, 5.0)) and not survey.keep("h", Result(1, 9 * SECOND, 5.0))
+    assert survey.keep("h", Result(9000, 10 * SECOND,
+                                   5.0)) and not survey.keep("h", Result(1, 9 * SECOND, 5.0))
     assert survey.fresh("h", 5.0, 11 * SECOND) and not survey.fresh("h", 5.0, 13 * SECOND)
     assert not survey.fresh("h", 6.0, 11 * SECOND)  # another start: another host
     assert survey.keep("h", Result(1, 9 * SECOND, 6.0)) and survey.fresh("h", 6.0, 10 * SECOND)
@@ -283,8 +290,10 @@
 
 @pytest.mark.parametrize("way", ["peers", "alone"])
 def test_a_survey_of_all_hosts_is_shared_out(way):
-    """Real stewards, stand-in hosts that count, a proxy for each: today's way probes each host once a steward."""
-    seen = asyncio.run(run_case(Case(way, 10, 60, Behaviour(20.0), net=160 + (way == "alone"), with_hosts=True)))
+    """Real stewards, stand-in hosts that count, a proxy for each: today's way probes each host once a
+    steward."""
+    seen = asyncio.run(
+        run_case(Case(way, 10, 60, Behaviour(20.0), net=160 + (way == "alone"), with_hosts=True)))
     assert seen.served == 10 and seen.notes["connections_most"] <= 10
     assert 2 <= seen.notes["probes_a_host_mean"] <= 4.5
     if way == "peers":
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -494,7 +494,8 @@
 @pytest.mark.parametrize("kind", ["empty", "wrong", "flapping", "lying"])
 @pytest.mark.parametrize("seed", range(4))
 def test_no_rule_rests_on_what_membership_says(kind, seed):
-    """Orders are the same to the letter, so each rule is kept as it was; the bench objects to breaks besides."""
+    """Orders are the same to the letter, so each rule is kept as it was; the bench objects to breaks
+    besides."""
     class Told(Bench):
         def give(self, *batch: notes.Note) -> list[orders.Order]:
             return super().give(*views_of_stewards(kind, random.Random(self.now)), *batch)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,4 +1,5 @@
-"""Membership's core: the rule by which views merge, its parts one by one, and groups in simulated time under faults."""
+"""Membership's core: the rule by which views merge, its parts one by one, and groups in simulated time under
+faults."""
 
 import msgspec
 import pytest
@@ -143,7 +144,8 @@
     run = group(6, make=make, start_s=12).run(40)
     assert {entry.observer for entry in run.history.of("doubled")} == {0, 1, 2, 3, 5}
     assert [entry.observer for entry in run.history.of("displaced")] == [4]
-    assert {run.cores[at].view.at(run.cores[at].view.index[name_of(4)]).life for at in (0, 1, 2, 3, 5)} == {(4 << 16) + 99}
+    assert {run.cores[at].view.at(run.cores[at].view.index[name_of(4)]).life
+            for at in (0, 1, 2, 3, 5)} == {(4 << 16) + 99}
     assert not run.history.of("gone")
 
 
@@ -153,7 +155,8 @@
     own, old = Record("n", "a:1", "z", 7, 1000), Record("n", "a:1", "z", 3, 4600)
     reply, raised = claim.hear(own, old, SECOND)
     assert reply is Reply.CLAIMED and raised.incarnation == 4601 and raised.life == 7
-    assert claim.hear(raised, msgspec.structs.replace(old, life=9, incarnation=9000), SECOND)[0] is Reply.DISPLACED
+    assert claim.hear(raised, msgspec.structs.replace(old, life=9, incarnation=9000),
+                      SECOND)[0] is Reply.DISPLACED
     assert claim.hear(raised, old, SECOND)[0] is Reply.OLD_LIFE
 
 
@@ -181,7 +184,8 @@
     waits = [suspicion.wait_us(needed, 10, 12, 3 * SECOND) for needed in (4, 3, 2, 1)]
     assert waits == [0, SECOND, 2 * SECOND, 3 * SECOND]
     assert suspicion.wait_us(4, 4, 12, 3 * SECOND) == 3 * SECOND  # a small part
-    assert not suspicion.is_verdict(4, True, True, 4, SECOND, 0) and suspicion.is_verdict(5, True, True, 4, SECOND, 0)
+    assert not suspicion.is_verdict(4, True, True, 4, SECOND, 0) and suspicion.is_verdict(
+        5, True, True, 4, SECOND, 0)
 
 
 def test_noise_is_told_apart_and_goes_no_further():
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -1,4 +1,5 @@
-"""Real stewards as processes with faulty links between them: each hard case of the laboratory, judged by its checkers."""
+"""Real stewards as processes with faulty links between them: each hard case of the laboratory, judged by its
+checkers."""
 
 import asyncio
 import os
@@ -30,7 +31,8 @@
 
 
 def test_the_rig_sees_what_it_is_meant_to_see(monkeypatch):
-    """Guards against a judge that objects to nothing: a patience below the pauses must call pausing members gone."""
+    """Guards against a judge that objects to nothing: a patience below the pauses must call pausing members
+    gone."""
     plain = paused()
 
     def hasty(n: int, seed: int, full: bool) -> Plan:
@@ -87,7 +89,8 @@
                 file.write(orjson.dumps(own))
             other.running[0].send_signal(signal.SIGHUP)
             event = "reload_failed" if seeds == "nonsense" else "reloaded"
-            assert await other.until(lambda: any(line["event"] == event for line in other.lines[0]), 10)  # noqa: B023
+            assert await other.until(lambda: any(line["event"] == event for line in other.lines[0]),
+                                     10)  # noqa: B023
         reloaded = [line for line in other.lines[0] if line["event"] == "reloaded"][-1]
         assert reloaded["kept"] == ["membership.patience_ms"]
 
@@ -95,7 +98,9 @@
 
 
 def ask(*words: str) -> subprocess.CompletedProcess:
-    return subprocess.run([sys.executable, "-m", "plankroute", "members", *words], capture_output=True, timeout=30)
+    return subprocess.run([sys.executable, "-m", "plankroute", "members", *words],
+                          capture_output=True,
+                          timeout=30)
 
 
 def test_a_bare_start_imports_nothing_of_what_is_switched_off():
