--- a/plankroute/coldstart/calls.py
+++ b/plankroute/coldstart/calls.py
@@ -9,8 +9,7 @@
 from plankroute.tokens import Tokens
 
 SECOND_US = 1_000_000
-SLACK = 1.05  # of a round: calls come a little slower than the service can answer, so that none is refused
-# for chance
+SLACK = 1.05  # of a round: calls come a little slower than the service can answer
 LEAST_ROUND_US = SECOND_US // 2  # a small group's: half a second between calls to a service in trouble
 STEADY_ROUNDS, GROWTH = 3, 1.5  # rounds of the same length first: most outages are over by then
 LONGEST = 4  # rounds grow up to that many windows, as far as the stated longest pause allows
--- a/plankroute/coldstart/follow.py
+++ b/plankroute/coldstart/follow.py
@@ -21,7 +21,6 @@
 ALONE_US = 3 * SECOND_US  # without anybody to follow, before the service itself is called
 SLOW_US = 60 * SECOND_US  # a first list that takes longer never ends: 3 MB on a link of 50 KB/s
 LATER_US = 2 * SECOND_US  # a watcher that is none any more goes on for so long: the next one comes up
-# meanwhile
 BEAT_US = SECOND_US // 10
 
 
--- a/plankroute/coldstart/lists.py
+++ b/plankroute/coldstart/lists.py
@@ -7,8 +7,7 @@
 
 import orjson
 
-MOST_CHANGES = 4096  # kept: more than change in an hour of releases; who is further behind gets the whole
-# list
+MOST_CHANGES = 4096  # kept: more than an hour of releases; who is further behind gets the whole list
 DELETED = "DELETED"
 
 
--- a/plankroute/membership/views.py
+++ b/plankroute/membership/views.py
@@ -8,8 +8,7 @@
 from plankroute.membership.records import Record, Standing, canonical, join
 
 MOST_MEMBERS = 4096  # four times the largest group that was measured; a liar can make a view no longer
-BUCKETS = 32  # of the sums by which views are compared: at 1,000 members one holds about a datagram and a
-# half
+BUCKETS = 32  # of the sums by which views are compared: at 1,000 members one fills about a datagram
 SUM_BYTES = 8
 NEVER = -(1 << 60)
 
--- a/plankroute/net/links.py
+++ b/plankroute/net/links.py
@@ -18,8 +18,7 @@
 BEAT_S = 0.5  # between beats: four in the shortest time after which somebody is left
 HELLO_S, DIAL_S = 2.0, 1.0
 STUCK_S = 5.0  # for one part to be taken by the kernel: three of them in the stall of who reads it
-MOST_LINKS = 512  # taken at once: two of each of 300 stewards spread over three watchers, and more than twice
-# that
+MOST_LINKS = 512  # taken at once: two of each of 300 stewards over three watchers, and more than twice that
 WAITING_BYTES = 65536  # for the kernel: a part being written, and the next
 READ_AT_ONCE = 65536
 MOST_RESULTS = 256  # of probes in one frame
--- a/plankroute/net/members.py
+++ b/plankroute/net/members.py
@@ -27,12 +27,9 @@
 from plankroute.ownfile import MembershipPart
 from plankroute.tokens import Tokens
 
-TAKEN_BYTES = 262144  # the kernel's buffer: two seconds' datagrams of a large group, for when the process
-# stands still
-UNSENT_BYTES = 65536  # waiting for the kernel: beyond, datagrams are dropped, which the core bears as any
-# loss
-WORKED_RATE, WORKED_BURST = 2000, 4000  # datagrams looked at a second: twenty times a large group's in its
-# worst hour
+TAKEN_BYTES = 262144  # the kernel's buffer: two seconds' datagrams of a large group, for a pause
+UNSENT_BYTES = 65536  # waiting for the kernel: beyond, datagrams are dropped, a loss as any
+WORKED_RATE, WORKED_BURST = 2000, 4000  # datagrams looked at a second: far above a large group's worst
 OPEN_EVERY_S = 1.0  # between tries for an address that is held
 LEAVE_S = 0.4  # for the last words: two beats, well within what operators leave after SIGTERM
 SELF = frozenset({Change.CALLED_GONE, Change.DISPLACED, Change.ALONE, Change.IN_COMPANY})
--- a/plankroute/net/shared.py
+++ b/plankroute/net/shared.py
@@ -21,8 +21,7 @@
 from plankroute.net.links import LinkClient, LinkServer
 from plankroute.net.members import Members
 
-PLACE_US = 200_000  # between first calls of watchers: the second one finds the list on its way to others
-# already
+PLACE_US = 200_000  # between first calls of watchers: the second finds the list on its way already
 OPEN_EVERY_S = 1.0  # between tries for an address that is held
 WARNINGS = frozenset({"left_behind", "left_old", "left_ahead", "left_stalled", "began_anew", "on_its_own"})
 
