--- a/plankroute/membership/detector.py
+++ b/plankroute/membership/detector.py
@@ -6,9 +6,9 @@
 
 from plankroute.chance import Chance
 
-# Between tries of a probe: thirteen in the usual patience. With 30% of datagrams lost one probe in 90,000 then
-# goes unanswered, and 300 members send 1.3 KB/s each; at 350 ms it is one in 500, and the suspicions and denials
-# that follow make it 4 KB/s.
+# Between tries of a probe: thirteen in the usual patience. With 30% of datagrams lost one probe in 90,000
+# then goes unanswered, and 300 members send 1.3 KB/s each; at 350 ms it is one in 500, and the suspicions
+# and denials that follow make it 4 KB/s.
 TRY_AGAIN_US = 200_000
 HELPERS = 1  # members sent on an errand at each try from then on; another one each time
 ERRANDS_US = 3 * TRY_AGAIN_US  # tries of its own come first: they cost a quarter, and most often do
