--- a/tests/test_ownfile.py
+++ b/tests/test_ownfile.py
@@ -28,6 +28,7 @@
     ({"membership": PART | {"listen": "10.0.0.4:70000"}
       }, "membership.listen: '10.0.0.4:70000' is no address"),
     ({"membership": PART | {"seeds": ["a.example:1"]}}, "membership.seeds[0]: expected `str` matching"),
+    ({"coldstart": {"links": {"listen": "10.0.0.4:1"}}}, "coldstart.links: needs a membership section"),
     ([], "the file: expected `object`, got `array`"),
 ])
 def test_a_mistake_is_one_line_with_the_path_of_its_key(tmp_path, told, line):
@@ -49,7 +50,7 @@
 def test_the_command_line_without_gw_config(tmp_path):
     helped, good, bad = command("--help"), command("check", str(EXAMPLE)), command("check", "/nowhere.json")
     assert helped.returncode == 0 and "members" in helped.stdout
-    assert good.returncode == 0 and "switches on: membership" in good.stdout
+    assert good.returncode == 0 and "switches on: membership, coldstart" in good.stdout
     assert bad.returncode == 2 and bad.stderr.count("\n") == 1
     assert command("check").returncode == 2 and command("check", "--schema").stdout.encode() == schema_text()
     bare = command()
