A watch without news is no refusal, and a 503's body no word from the service

Cause, found by reading: every piece of any answer counted as word from the service, and a watch from the held revision that ended after hours without a change counted as refused, so its pauses grew. Change: whole lines of a good answer count, empty ones too; a follower that asked the service takes the watch's going on as its word. Test with three answers.

--- a/plankroute/net/careful.py
+++ b/plankroute/net/careful.py
@@ -23,7 +23,7 @@
 
     def prepare(self, facts: CallFacts, list_old_us: int, seed: int) -> None:
         self.caller, self.list_old_us = Caller(facts, seed), list_old_us
-        self.heard_us, self.is_old, self.times_taken = now_us(), False, 0
+        self.heard_us, self.is_old, self.times_heard = now_us(), False, 0
         self.looking: asyncio.Task[None] | None = None
 
     def start(self, known: Any) -> None:
@@ -46,12 +46,12 @@
         """One watch from the revision that is held, to its end. A list held is never asked for whole
         again."""
         self.book.count("sent.calls")
-        before, began_us, call = self.times_taken, now_us(), None
+        before, began_us, call = self.times_heard, now_us(), None
         try:
             call = await self.watch_from(self.revision or 0)
         except Exception as error:  # an error of ours must not leave the steward without a list
             self.book.log.event("error", "discovery_failed", why=f"{type(error).__name__}: {error}")
-        if self.times_taken > before:
+        if self.times_heard > before:
             return Broke(now_us() - began_us)
         self.book.count("refused.calls")
         return Refused(self.asked_to_wait(call))
@@ -63,17 +63,10 @@
             self.book.count("dropped.retry_after" if asked is None else "taken.retry_after")
         return asked
 
-    def take(self, text: bytes) -> bool:
-        """Any list or change is a word from the service."""
-        if not super().take(text):
-            return False
-        self.times_taken += 1
-        self.hear()
-        return True
-
     def hear(self) -> None:
-        """The service, or one that has its word, was heard; an empty line of a watch counts."""
+        """The service was heard; an empty line of a watch counts, since nothing may have changed for hours."""
         self.heard_us = now_us()
+        self.times_heard += 1
         if self.is_old:
             self.is_old = False
             self.book.log.event("info", "list_fresh", revision=self.revision)
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -133,16 +133,16 @@
         most = self.limits.most_body
         cutter = LineCutter(most, Pool(2 * most))
         async for piece in pieces:
-            self.hear()
             if call.status != 200:
                 return CallFailed(call.reached, f"status {call.status}")
             for line in cutter.feed(piece):
                 if isinstance(line, Refused) or (line.strip() and not self.take(line)):
                     return CallFailed(call.reached, "what came can't be used")
+                self.hear()
         return None
 
     def hear(self) -> None:
-        """Something came; what is called with care keeps the time."""
+        """A whole line came, an empty one too; what is called with care keeps the time."""
 
     def take(self, text: bytes) -> bool:
         """A list goes to the core; False where it can't be used, and the old one stays."""
--- a/plankroute/net/shared.py
+++ b/plankroute/net/shared.py
@@ -124,6 +124,12 @@
 
     # What the service and others say
 
+    def hear(self) -> None:
+        """A watch that goes on from the revision held says that the service knows it."""
+        super().hear()
+        if self.roles.is_asking and self.held.revision >= 0:
+            self.work([Holds(self.held.revision, True)])
+
     def take(self, text: bytes) -> bool:
         """The service's own word."""
         if not super().take(text):
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -19,6 +19,10 @@
 from plankroute.lab.cold import Case, down_until, run_case
 from plankroute.lab.coldcases import CASES, run_cold
 from plankroute.lab.listservice import Behaviour, Mode, Phase
+from plankroute.net.book import Book, Log
+from plankroute.net.careful import CarefulDiscovery
+from plankroute.net.clock import Clock
+from plankroute.net.directory import Directory
 
 SECOND = 1_000_000
 
@@ -310,3 +314,29 @@
 @pytest.mark.parametrize("name", CASES)
 def test_real_stewards_take_the_list_from_each_other_through_faults(through_peers, name):
     assert not through_peers[name][0]
+
+
+@pytest.mark.parametrize("answer, expected", [
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n0\r\n\r\n", Broke),
+    (b"HTTP/1.1 503 Busy\r\nRetry-After: 7\r\nContent-Length: 5\r\n\r\nbusy\n", Refused),
+    (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\n{\"re\r\n", Refused)])
+def test_a_watch_that_had_nothing_to_tell_is_no_refusal(answer, expected):
+    """Guards against pauses that grow though the service is well, and a 503's body taken for its word."""
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(answer)
+        await writer.drain()
+        writer.close()
+
+    async def scene():
+        async with asyncio.timeout(20), await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+            port = server.sockets[0].getsockname()[1]
+            careful = CarefulDiscovery(f"127.0.0.1:{port}", 1 << 20, Directory(Clock(), ("a",), ("m",), ()),
+                                       Book(Log("n", [].append)), 1, False, [].append)
+            careful.prepare(CallFacts(0, 1, 20.0, SECOND, SECOND), SECOND, 1)
+            careful.revision = 5
+            return await careful.call_once()
+
+    event = asyncio.run(scene())
+    assert isinstance(event, expected)
+    assert not isinstance(event, Refused) or event.retry_after_us in (None, 7 * SECOND)
