--- a/plankroute/lab/cold.py
+++ b/plankroute/lab/cold.py
@@ -15,7 +15,7 @@
 
 
 CLASSES = [{"name": "lookup", "idempotency": "retryable", "onTimeMs": 1000.0, "deadlineMs": 4000.0}]
-LOOK_ON_S = 5.0  # in which probes are counted
+LOOK_ON_S = 5.0  # from the first probe of a host on: so long probes are counted
 
 
 class Case(msgspec.Struct, frozen=True):
@@ -70,6 +70,7 @@
         targets = [target(host, where[host], "abc"[host % 3]) for host in range(case.hosts)]
         self.service = ListService(targets, case.behaviour)
         self.fleet: Fleet | None = None
+        self.first_us: dict[int, int] = {}  # by steward, its first whole list
         self.absent: tuple[int, ...] = ()  # started later, by whoever looks on
         self.detours: dict[int, Any] = {}  # by member, what stands between it and the service
 
@@ -78,6 +79,7 @@
             await self.hosts.open()
         address = await self.service.open(f"127.250.{self.case.net}.1")
         self.fleet = Fleet(plan_of(self.case, address))
+        self.fleet.on_line = self.on_line
         for detour in set(self.detours.values()):
             detour.address = address
             where = await detour.open(f"127.250.{self.case.net}.2")
@@ -92,27 +94,22 @@
         self.service.begin()
         if self.hosts:
             self.hosts.begin()
-            for member in range(self.case.stewards):
-                self.fleet.keep(self.join_when_served(member))
         if self.case.script.rules or self.case.script.steps:
             self.fleet.keep(self.fleet.play())
         return self
 
-    async def join_when_served(self, member: int) -> None:
-        """A proxy comes once the steward has its list, as proxies do."""
-        assert self.fleet
-        await self.until(lambda: self.served_us()[member] is not None)
-        await one_proxy(self.fleet.real[member][0], STREAM_PORT, "abc"[member % 3])
+    def on_line(self, member: int, said: dict[str, Any]) -> None:
+        """Whole lists, as they are told of. Kept as they come: looking through all logs again and again held up
+        the lab, and with it the service that it plays."""
+        if said.get("event") != "list" or said.get("kind") != "full" or said.get("revision", 0) <= 0:
+            return
+        if member not in self.first_us and self.hosts and self.fleet:
+            self.fleet.keep(one_proxy(self.fleet.real[member][0], STREAM_PORT, "abc"[member % 3]))
+        self.first_us.setdefault(member, said["at_us"])
 
     def served_us(self) -> list[int | None]:
         """By steward, when it first had a list of all hosts."""
-        assert self.fleet
-        return [
-            next(
-                (line["at_us"] for line in lines
-                 if line.get("event") == "list" and line.get("kind") == "full" and line.get("revision", 0) > 0
-                 ), None) for member, lines in enumerate(self.fleet.lines) if member not in self.absent
-        ]
+        return [self.first_us.get(member) for member in range(self.case.stewards) if member not in self.absent]
 
     async def until(self, holds: Callable[[], bool]) -> bool:
         assert self.fleet
@@ -164,7 +161,7 @@
         await start.begin()
         await start.until_all_serve()
         if start.hosts and start.fleet:
-            await asyncio.sleep(max(0.5, LOOK_ON_S - start.fleet.now_us() / SECOND))
+            await start.until(lambda: start.hosts is not None and start.hosts.lasted_s() > LOOK_ON_S)
         return start.seen()
     finally:
         await start.close()
--- a/plankroute/lab/coldcases.py
+++ b/plankroute/lab/coldcases.py
@@ -135,6 +135,7 @@
         await process.wait()
     for lines in fleet.lines:
         lines.clear()
+    start.first_us.clear()
     for member in range(STEWARDS):
         await fleet.start(member)
     out += await all_serve(start)
--- a/plankroute/lab/hosts.py
+++ b/plankroute/lab/hosts.py
@@ -53,11 +53,20 @@
             if not writer.is_closing():
                 writer.transport.abort()
 
+    def first(self) -> int | None:
+        """The bin of the first probe of any host."""
+        return min((place for _, place in self.probes), default=None)
+
+    def lasted_s(self) -> float:
+        """Since the first probe."""
+        first = self.first()
+        return 0.0 if first is None else time.monotonic() - self.began_s - first * BIN_S
+
     def by_host(self, within_s: float) -> list[int]:
-        """Probes of each host in the first seconds."""
-        out = [0] * len(self.addresses)
+        """Probes of each host in so many seconds from the first of all on."""
+        out, first = [0] * len(self.addresses), self.first() or 0
         for (host, place), times in self.probes.items():
-            if place * BIN_S < within_s:
+            if (place - first) * BIN_S < within_s:
                 out[host] += times
         return out
 
--- a/plankroute/lab/processes.py
+++ b/plankroute/lab/processes.py
@@ -81,6 +81,7 @@
         self.folder = tempfile.TemporaryDirectory(prefix="plankroute-lab-")
         self.launched_ns, self.began_us = time.monotonic_ns(), -1
         self.instead: dict[int, dict[str, Any]] = {}  # by member, words of the configuration of its own
+        self.on_line: Callable[[int, dict[str, Any]], None] = lambda member, said: None
         self.gate: tuple[int, ...] = os.pipe() if plan.is_gated else ()
 
     def addresses(self, port: int) -> list[Address]:
@@ -178,6 +179,7 @@
                 said = {"event": "unreadable", "text": line.decode("ascii", "replace").strip()}
             said["at_us"] = self.now_us()
             self.lines[member].append(said)
+            self.on_line(member, said)
             kind, _, change = str(said.get("event", "")).partition("_")
             if kind in ("member", "members") and (subject := self.places.get(said.get("member",
                                                                                       ""))) is not None:
