A drain in the middle of a cold start reaches all proxies; first tables do not favour a few hosts

Need: a drain during the start has to be kept, and hundreds of stewards with the same shared answers must not all favour the same hosts. Change: the lab's proxies answer marks and keep when a host was shut out to them; tests for both, and for answers from another time.

--- a/plankroute/lab/cold.py
+++ b/plankroute/lab/cold.py
@@ -9,7 +9,7 @@
 
 from plankroute.lab.faults import SECOND, Script
 from plankroute.lab.listservice import Behaviour, ListService, Mode, Phase, target
-from plankroute.lab.hosts import Hosts, one_proxy
+from plankroute.lab.hosts import Hosts, Proxy
 from plankroute.lab.processes import STREAM_PORT, Fleet, Plan
 
 
@@ -56,6 +56,8 @@
     return Plan(case.stewards, case.script, case.net, is_bare=case.way == "today", is_gated=True,
                 more={"coldstart": own}, told={"discovery": service, "known": None},
                 settings={"caps": {"mayProbe": True, "dialTimeoutMs": 300.0}, "classes": CLASSES,
+                          "safety": {"drainGraceMs": 3000.0, "coldMs": 15000.0, "startCapacity": 0.2,
+                                     "fallMultiple": 3.0},
                           "report": {"fields": ["rif"], "via": "piggyback"}}, has_links=case.way == "peers",
                 has_members=case.way == "peers", is_direct=case.script == Script(1))
 
@@ -70,6 +72,7 @@
         targets = [target(host, where[host], "abc"[host % 3]) for host in range(case.hosts)]
         self.service = ListService(targets, case.behaviour)
         self.fleet: Fleet | None = None
+        self.proxies: dict[int, Proxy] = {}
         self.first_us: dict[int, int] = {}  # by steward, its first whole list
         self.absent: tuple[int, ...] = ()  # started later, by whoever looks on
         self.detours: dict[int, Any] = {}  # by member, what stands between it and the service
@@ -104,7 +107,8 @@
         if said.get("event") != "list" or said.get("kind") != "full" or said.get("revision", 0) <= 0:
             return
         if member not in self.first_us and self.hosts and self.fleet:
-            self.fleet.keep(one_proxy(self.fleet.real[member][0], STREAM_PORT, "abc"[member % 3]))
+            self.proxies[member] = Proxy(self.fleet.real[member][0], STREAM_PORT, "abc"[member % 3])
+            self.fleet.keep(self.proxies[member].run())
         self.first_us.setdefault(member, said["at_us"])
 
     def served_us(self) -> list[int | None]:
--- a/plankroute/lab/coldcases.py
+++ b/plankroute/lab/coldcases.py
@@ -3,6 +3,7 @@
 
 import asyncio
 import random
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any
 
@@ -19,6 +20,7 @@
 LARGE = 8000  # hosts: a list of 1 MB
 SLOW = 50_000.0  # bytes a second on a link
 LIMIT_S = 60.0
+GRACE_S = 3.0  # as the settings of these starts state it
 Play = Callable[[ColdStart], Awaitable[list[str]]]
 
 
@@ -30,6 +32,7 @@
     hosts: int = 500
     behaviour: Behaviour = Behaviour()
     absent: tuple[int, ...] = ()
+    with_hosts: bool = False
 
 
 def watchers(stewards: int = STEWARDS) -> list[int]:
@@ -77,8 +80,14 @@
     out = await all_serve(start)
     if start.service.calls > 12:
         out.append(f"{start.service.calls} calls")
-    begun_us = start.fleet.now_us()
+    out += await wanted(start, "a table for each proxy", lambda: len(start.proxies) == STEWARDS - 1 and all(
+        proxy.is_bound for proxy in start.proxies.values()))
+    begun_us, begun_s = start.fleet.now_us(), time.monotonic()
     start.service.change(7, state="DRAINING")
+    out += await wanted(start, "a drain at all proxies", lambda: all(
+        "s-00007" in proxy.shut_s for proxy in start.proxies.values()))
+    shut_s = max(proxy.shut_s.get("s-00007", begun_s + 99.0) for proxy in start.proxies.values()) - begun_s
+    out += [f"proxies shut the draining host after {shut_s:.2f} s"] * (shut_s > GRACE_S)
     out += await wanted(start, "a drain", lambda: hold(start, list(range(STEWARDS - 1)), 1001))
     took_s = seconds_until(start, list(range(STEWARDS - 1)), 1001, begun_us) if not out else 99.0
     calls, late = start.service.calls, STEWARDS - 1
@@ -219,7 +228,7 @@
 
 
 CASES: dict[str, ColdCase] = {
-    "good": ColdCase(good, absent=(STEWARDS - 1,)),
+    "good": ColdCase(good, hosts=100, absent=(STEWARDS - 1,), with_hosts=True),
     "watchers killed": ColdCase(drained_meanwhile, lambda who: slow(
         steps=tuple(Step(4.0 + place, Act.KILL, member) for place, member in enumerate(who[:2]))), LARGE),
     "watchers paused": ColdCase(drained_meanwhile, lambda who: slow(
@@ -282,9 +291,8 @@
 async def run_cold(name: str, net: int) -> tuple[list[str], dict[str, Any]]:
     """Objections, and what was seen."""
     case = CASES[name]
-    start = ColdStart(
-        Case("peers", STEWARDS, case.hosts, case.behaviour, 1, net, LIMIT_S, {"list_old_s": 5.0},
-             case.script(watchers())))
+    start = ColdStart(Case("peers", STEWARDS, case.hosts, case.behaviour, 1, net, LIMIT_S,
+                           {"list_old_s": 5.0}, case.script(watchers()), case.with_hosts))
     start.absent = case.absent
     cut = CutService(start, "", 34.0)
     if name == "parted":
--- a/plankroute/lab/hosts.py
+++ b/plankroute/lab/hosts.py
@@ -75,15 +75,30 @@
             server.close()
 
 
-async def one_proxy(host: str, port: int, zone: str, read_s: float = 60.0) -> int:
-    """Joins a steward as its proxy 0 and reads what it is sent; lines that came."""
-    lines = 0
-    try:
-        reader, writer = await asyncio.open_connection(host, port, limit=1 << 21)
-        writer.write(f"hello node=0 locality={zone} w=10.0 cold=1\r\n".encode())
-        async with asyncio.timeout(read_s):
-            while await reader.readline():
-                lines += 1
-    except (OSError, TimeoutError, ValueError):
-        pass
-    return lines
+class Proxy:
+    """Joins a steward as its proxy 0, answers marks and reads what it is sent; keeps when hosts were shut out."""
+
+    def __init__(self, host: str, port: int, zone: str) -> None:
+        self.host, self.port, self.zone = host, port, zone
+        self.shut_s: dict[str, float] = {}  # by host's name, when it was first told to send there no more
+        self.is_bound = False
+
+    async def run(self, read_s: float = 60.0) -> None:
+        try:
+            reader, writer = await asyncio.open_connection(self.host, self.port, limit=1 << 21)
+            writer.write(f"hello node=0 locality={self.zone} w=10.0 cold=1\r\n".encode())
+            async with asyncio.timeout(read_s):
+                while line := await reader.readline():
+                    if (mark := self.take(line.decode("ascii").split())) is not None:
+                        writer.write(f"ack node=0 nonce={mark} latency=1.0\r\n".encode())
+        except (OSError, TimeoutError, ValueError):
+            pass
+
+    def take(self, words: list[str]) -> str | None:
+        """The mark that is to be answered, if there is one."""
+        said = dict(word.partition("=")[::2] for word in words[1:])
+        self.is_bound |= "replace" in said
+        rows = [row.rpartition(":")[::2] for row in said.get("rows", "").split(",")]
+        for name in [*said.get("drop", "").split(","), *(name for name, weight in rows if weight == "0")]:
+            self.shut_s.setdefault(name, time.monotonic())
+        return said.get("stamp")
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -476,6 +476,33 @@
     generated_day(Bench(facts, speed=rng.choice([1.0, 0.4])), rng, 50)
 
 
+def test_first_tables_of_many_stewards_do_not_favour_the_same_few_hosts():
+    """All start at once with the same shared answers, all hosts cold: what a host gets of all is bounded."""
+    rng, total = random.Random(5), dict.fromkeys(range(100, 160), 0.0)
+    took = {host: int(math.exp(rng.gauss(9.0, 0.6))) for host in total}
+    for seed in range(20):
+        bench = Bench(start_facts(stewards=20), steward=Steward(start_facts(stewards=20), seed))
+        bench.give(full(*[entry(host, zone=host % 3, started_us=bench.now) for host in total]))
+        bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(4)])
+        bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, took[host], None, age_us=SECOND)
+                     for host in total if rng.random() < 0.9])
+        bench.pass_time(SECOND)
+        lines = bench.lines[0]
+        for host, weight in lines.items():
+            total[host] += weight / sum(lines.values())
+    mean = sum(total.values()) / len(total)
+    assert max(total.values()) < 1.6 * mean and min(total.values()) > 0.4 * mean
+
+
+def test_an_answer_of_another_steward_from_another_time_counts_for_nothing():
+    bench = ready_bench()
+    speed = list(bench.steward.fleet.speed)
+    bench.give(notes.ProbeResult(100, Outcome.ANSWERED, 1000, None, age_us=60 * SECOND))
+    assert bench.steward.fleet.speed == speed
+    bench.give(notes.ProbeResult(100, Outcome.ANSWERED, 1000, None, age_us=SECOND))
+    assert bench.steward.fleet.speed != speed
+
+
 def views_of_stewards(kind: str, rng: random.Random) -> list[notes.Note]:
     """What membership might say in one batch, right or not."""
     alive, gone = notes.StewardState.ALIVE, notes.StewardState.GONE
