A table longer than binds may queue is bound when the channel is free

Cause, found by a cold start with 500 hosts in the lab: proxies got no table at all. A bind of 506 lines never fits into binds' allowance, which is 400 lines at 2,000 lines a second on a short way (Publisher.bind_waiting, bind_allowance); 300 hosts were bound after 0.3 s, 400 never. Change: one bind that needs more goes when nothing else is queued, up to what ordinary orders may queue; smaller ones as before.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -547,7 +547,9 @@
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
-            if sum(costs) + self.channel.head > self.room(self.bind_allowance):
+            needs = sum(costs) + self.channel.head
+            # Guards against a table longer than binds may queue, which would never go: alone in the channel it does.
+            if needs > self.room(max(self.bind_allowance, min(needs, self.allowance))):
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -494,6 +494,15 @@
     assert max(total.values()) < 1.6 * mean and min(total.values()) > 0.4 * mean
 
 
+def test_a_table_longer_than_binds_may_queue_is_bound_all_the_same():
+    """Guards against proxies that are never bound: 500 hosts, a channel of 2,000 lines a second on a short way."""
+    bench = Bench(start_facts(way_us=0, way_most_us=0, grace_us=3 * SECOND, proxies=9))
+    bench.give(full(*[entry(100 + i, zone=i % 3) for i in range(500)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(9)])
+    bench.pass_time(8 * SECOND)
+    assert len(bench.bound) == 9 and bench.most_waiting <= 2 * 520
+
+
 def test_an_answer_of_another_steward_from_another_time_counts_for_nothing():
     bench = ready_bench()
     speed = list(bench.steward.fleet.speed)
