--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -548,7 +548,7 @@
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
             needs = sum(costs) + self.channel.head
-            # Guards against a table longer than binds may queue, which would never go: alone in the channel it does.
+            # Guards against a table longer than binds may queue, which would never go; alone it does.
             if needs > self.room(max(self.bind_allowance, min(needs, self.allowance))):
                 break
             del self.unbound[proxy]
