--- a/plankroute/lab/measure.py
+++ b/plankroute/lab/measure.py
@@ -2,6 +2,7 @@
 aimed at."""
 
 import sys
+import time
 import tracemalloc
 from collections.abc import Callable, Iterable
 from concurrent.futures import ProcessPoolExecutor, as_completed
@@ -14,8 +15,8 @@
 from plankroute.lab import checkers
 from plankroute.lab.baselines import Heartbeats, Swim
 from plankroute.lab.faults import SECOND, Act, Rule, Script, Step, partition, pauses
-from plankroute.lab.simulated import Group, plankroute_member
-from plankroute.membership.messages import Heard, Piece
+from plankroute.lab.simulated import WALL_US, Group, address_of, name_of, plankroute_member
+from plankroute.membership.messages import Answer, BeatDue, Heard, Piece, Ping, Send
 from plankroute.membership.records import Record
 
 CALM_S, KILLS, KILL_EVERY_S = 5.0, 3, 10.0
@@ -23,6 +24,7 @@
 AIMS: dict[tuple[str, str], float] = {  # of the chosen way, by kind and figure: at most
     ("killed", "median_s"): 4.0, ("killed", "worst_s"): 8.0, ("lossy", "wrong"): 0, ("paused", "wrong"): 0,
     ("healed", "agreed_s"): 5.0, ("load", "bytes_s"): 2000.0, ("load", "core_percent"): 2.0,
+    ("load", "alone_percent"): 2.0,
     ("load", "memory_mb"): 2.0}
 FROM_1000 = {"median_s": 1.5, "worst_s": 1.5}  # times the aim, at a thousand members
 
@@ -139,6 +141,7 @@
                "core_percent": (run.busy_s - before[2]) / per * 100}
     if job.way == "plankroute":
         figures["memory_mb"] = memory_mb(job.members)
+        figures["alone_percent"] = alone_percent(job.members)
     return figures
 
 
@@ -156,6 +159,28 @@
     return used / MB
 
 
+def alone_percent(members: int, seconds: int = 60) -> float:
+    """Of a core, for one member that is answered and asked by all others: a simulation of a thousand shares
+    its caches among them all, which is none of a member's own cost."""
+    core, busy_s, now_us = plankroute_member(0, 1, 1, ()), 0.0, SECOND
+    others = {address_of(member): Record(name_of(member), address_of(member), "z", (member << 16) + 1,
+                                         WALL_US) for member in range(1, members)}
+    addresses = list(others)
+    core.deliver(now_us, [Heard(addresses[0], Piece(tuple(others.values())))])
+    for beat in range(seconds * 10):
+        now_us += SECOND // 10
+        asked = addresses[beat % len(addresses)]
+        ping = Ping(beat, core.view.digest(), others[asked])
+        events: list[Any] = [BeatDue()] + [Heard(asked, ping)] * (beat % 2)
+        began = time.perf_counter()
+        pings = [action for action in core.deliver(now_us, events) if isinstance(action, Send)
+                 and isinstance(action.said, Ping)]
+        core.deliver(now_us + 300, [Heard(ping.address, Answer(ping.said.number, others[ping.address]))
+                                    for ping in pings])
+        busy_s += time.perf_counter() - began
+    return busy_s / seconds * 100
+
+
 KINDS: dict[str, Callable[[Job], dict[str, Any]]] = {
     "killed": killed, "lossy": lossy, "paused": paused, "healed": healed, "load": load}
 
@@ -192,7 +217,7 @@
     for name in ("missed", "wrong", "wrong_members"):
         if name in got[0]:
             figures[name] = sum(one[name] for one in got)
-    for name in ("agreed_s", "bytes_s", "datagrams_s", "core_percent", "memory_mb"):
+    for name in ("agreed_s", "bytes_s", "datagrams_s", "core_percent", "alone_percent", "memory_mb"):
         if name in got[0]:
             values = [one[name] for one in got]
             figures[name] = None if None in values else round(max(values), 3)
