--- a/plankroute/lab/hosts.py
+++ b/plankroute/lab/hosts.py
@@ -76,7 +76,7 @@
 
 
 class Proxy:
-    """Joins a steward as its proxy 0, answers marks, reads what it is sent; keeps when hosts were shut out."""
+    """Joins a steward as its proxy 0, answers marks, reads on; keeps when hosts were shut out."""
 
     def __init__(self, host: str, port: int, zone: str) -> None:
         self.host, self.port, self.zone = host, port, zone
