One loop of calls for both ways of discovery; dead names and ragged docstrings go

Change: SharedDiscovery had the loop of calls and the end of 'list_old' a second time, both are CarefulDiscovery's now; names that nothing read (to_steady, times_late, dropped, MOST_REVISION, beat_us) are gone; with_seeds is dataclasses.replace; docstrings that the wrapping had torn are whole. Behaviour as it was. Measured: tests of membership, the file and the cold start (58) and three cases with real processes pass.

--- a/plankroute/coldstart/follow.py
+++ b/plankroute/coldstart/follow.py
@@ -160,7 +160,7 @@
         self.names: frozenset[str] = frozenset()
         self.watchers: list[str] = []
         self.began_us: int | None = None
-        self.changed_us = self.without_us = self.beat_us = 0
+        self.changed_us = self.without_us = 0
         self.demoted_us: int | None = None
         self.is_watching, self.is_asking = False, False
         self.differs_us: int | None = None
--- a/plankroute/coldstart/frames.py
+++ b/plankroute/coldstart/frames.py
@@ -9,7 +9,6 @@
 LENGTH = struct.Struct("!I")
 MOST_FRAME = 65536  # bytes: a part of a list and little else
 PART_BYTES = 16384  # of a list in one frame: on a link of 50 KB/s one comes each third of a second
-MOST_REVISION = 1 << 62
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag=1):
--- a/plankroute/membership/facts.py
+++ b/plankroute/membership/facts.py
@@ -1,6 +1,6 @@
 """What a member is told at its start, and the figures that follow from it; plain data."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 MOST_DATAGRAM = 1200  # bytes: below every path's usual limit, so that none is cut in pieces on its way
 
@@ -20,5 +20,4 @@
     forget_us: int  # how long those gone or left are remembered
 
     def with_seeds(self, seeds: tuple[str, ...]) -> "MemberFacts":
-        return MemberFacts(self.name, self.address, self.zone, self.group, seeds, self.patience_us,
-                           self.probe_us, self.forget_us)
+        return replace(self, seeds=seeds)
--- a/plankroute/membership/group.py
+++ b/plankroute/membership/group.py
@@ -1,6 +1,5 @@
 """The door of membership: events and the time in, actions out. What the program is told of others is said
-here;
-no rule of the steward may come to rest on it."""
+here; no rule of the steward may come to rest on it."""
 
 from collections.abc import Callable
 
@@ -121,8 +120,7 @@
 
     def take_all(self, records: tuple[Record, ...], sender: Record | None = None, rides: bool = True) -> None:
         """The sender's own record counts as word from it, whatever stands in it. `rides`: what is new is
-        passed
-        on; what came by an exchange reaches others by theirs."""
+        passed on; what came by an exchange reaches others by theirs."""
         for record in records:
             if record.name == self.facts.name:
                 self.hear_of_self(record)
--- a/plankroute/membership/health.py
+++ b/plankroute/membership/health.py
@@ -19,19 +19,14 @@
     def __init__(self) -> None:
         self.slept_us = 0
         self.due_us: int | None = None  # when this member last wanted to be woken
-        self.times_late = 0
 
     def read(self, now_us: int) -> int:
         """Microseconds on this clock; steps back a little after each pause, which delays what is due."""
         if self.due_us is not None and (late := now_us - self.due_us) > LATE_US:
             self.slept_us += late + SETTLE_US
-            self.times_late += 1
             self.due_us = now_us
         return now_us - self.slept_us
 
-    def to_steady(self, awake_us: int) -> int:
-        return awake_us + self.slept_us
-
 
 class OwnDoubt:
     """Complaints of this member by place, and whether others share them."""
--- a/plankroute/membership/records.py
+++ b/plankroute/membership/records.py
@@ -1,6 +1,5 @@
 """What is said of one steward, and the rule by which two such sayings become one. Decides which saying
-stands;
-never who is alive."""
+stands; never who is alive."""
 
 from enum import IntEnum
 from hashlib import blake2b
@@ -23,11 +22,9 @@
     """One steward as somebody has it.
 
     `address`: "host:port" at which it takes datagrams. `life`: drawn by each process at its start.
-    `incarnation`:
-    raised by that process alone, to overrule what is said of it. `voters`: the smallest marks of those that
-    had
-    no answer from it, while it is suspected. `rival`: the life of another live process under the same name, 0
-    if none showed itself.
+    `incarnation`: raised by that process alone, to overrule what is said of it. `voters`: the smallest marks
+    of those that had no answer from it, while it is suspected. `rival`: the life of another live process
+    under the same name, 0 if none showed itself.
     """
 
     name: str
--- a/plankroute/membership/spreading.py
+++ b/plankroute/membership/spreading.py
@@ -19,13 +19,11 @@
 
     def __init__(self) -> None:
         self.rode: dict[str, int] = {}
-        self.dropped = 0
 
     def add(self, name: str) -> None:
         self.rode.pop(name, None)  # it goes to the end of those that never rode
         if len(self.rode) >= MOST_WAITING:
             del self.rode[max(self.rode, key=self.rode.__getitem__)]
-            self.dropped += 1
         self.rode[name] = 0
 
     def take(self, members: int, room: int, record: Callable[[str], Record | None],
--- a/plankroute/membership/verdicts.py
+++ b/plankroute/membership/verdicts.py
@@ -34,8 +34,8 @@
             self.greet(place, before, after, now_us)
         match after.standing:
             case Standing.SUSPECTED:
-                if after.key() != before.key(
-                ) or before.standing is not Standing.SUSPECTED or after is before:
+                is_same = after.key() == before.key() and after is not before
+                if not is_same or before.standing is not Standing.SUSPECTED:
                     self.view.suspected_us[place] = now_us
                 self.judge(place, now_us)
             case Standing.GONE:
--- a/plankroute/net/careful.py
+++ b/plankroute/net/careful.py
@@ -36,9 +36,12 @@
                 task.cancel()
 
     async def watch_always(self) -> None:
-        event: Event = Began()
+        await self.call_on(self.caller, Began())
+
+    async def call_on(self, caller: Caller, event: Event) -> None:
+        """Call after call, each when the caller says after how the one before ended."""
         while True:
-            due_us = self.caller.deliver(now_us(), event).due_us
+            due_us = caller.deliver(now_us(), event).due_us
             await asyncio.sleep(max(0, due_us - now_us()) / 1e6)
             event = await self.call_once()
 
@@ -67,7 +70,11 @@
         """The service was heard; an empty line of a watch counts: nothing may have changed for hours."""
         self.heard_us = now_us()
         self.times_heard += 1
-        if self.is_old:
+        self.mend_age()
+
+    def mend_age(self) -> None:
+        """Said to be old, and no longer so."""
+        if self.is_old and now_us() - self.heard_us < self.list_old_us:
             self.is_old = False
             self.book.log.event("info", "list_fresh", revision=self.revision)
 
--- a/plankroute/net/shared.py
+++ b/plankroute/net/shared.py
@@ -116,12 +116,6 @@
             event = await self.call_once()
         await self.call_on(caller, event)
 
-    async def call_on(self, caller: Caller, event: Event) -> None:
-        while True:
-            due_us = caller.deliver(now_us(), event).due_us
-            await asyncio.sleep(max(0, due_us - now_us()) / 1e6)
-            event = await self.call_once()
-
     # What the service and others say
 
     def hear(self) -> None:
@@ -144,8 +138,7 @@
 
     def take_from(self, name: str, text: bytes) -> str | None:
         """A list from another steward; why it is refused, if so. A lower revision never replaces a higher
-        one,
-        but where the service began anew, as two that are followed say."""
+        one, but where the service began anew, as two that are followed say."""
         try:
             revision = orjson.loads(text)["rev"]
         except (ValueError, KeyError, TypeError):
@@ -192,11 +185,6 @@
             self.book.log.event("warning", "link_objected", other=name, why=objection)
         return objection
 
-    def mend_age(self) -> None:
-        if self.is_old and now_us() - self.heard_us < self.list_old_us:
-            self.is_old = False
-            self.book.log.event("info", "list_fresh", revision=self.revision)
-
     def heard_results(self, frame: Probed) -> None:
         self.on_results(frame)
 
