Slots are found anew only when something has moved; a steward that stood still blames nobody

Cause: profiled in a cold start of 100 real stewards with 500 hosts, half of a steward's work was the publisher's look ten times a second, which worked out all slots each time though nothing had moved. And where hundreds of processes share a few cores, stewards that were starved of theirs found all others late, left their watchers as stalled and went to the list service together: 300 on a slow hour of the machine made 47 and more calls.

Change: `Table.slots` gives what it found last while state, zone, kind, weight, cap, shut, cut, the pushed table and who is out are as they were. `Follow` counts no more than three beats of a time in which it was not called (membership has had the like).

--- a/plankroute/coldstart/follow.py
+++ b/plankroute/coldstart/follow.py
@@ -24,6 +24,7 @@
 SLOW_US = 60 * SECOND_US  # a first list that takes longer never ends: 3 MB on a link of 50 KB/s
 LATER_US = 2 * SECOND_US  # a watcher that is none any more goes on for so long: the next one comes up
 BEAT_US = SECOND_US // 10
+MOST_BEAT_US = 3 * BEAT_US  # of a time in which this steward itself stood still, what counts against others
 
 
 def ranked(names: Iterable[str], key: str) -> list[str]:
@@ -167,9 +168,19 @@
         self.is_watching, self.is_asking = False, False
         self.differs_us: int | None = None
         self.revision = -1
+        self.read_us: int | None = None
+        self.slept_us = 0  # time that others need not answer for
         self.out: list[Action] = []
 
+    def awake_us(self, now_us: int) -> int:
+        """Guards against a steward that was paused, or starved of its core, and finds all others late."""
+        passed_us = now_us - (now_us if self.read_us is None else self.read_us)
+        self.slept_us += max(0, passed_us - MOST_BEAT_US)
+        self.read_us = now_us
+        return now_us - self.slept_us
+
     def deliver(self, now_us: int, events: list[Event]) -> list[Action]:
+        now_us = self.awake_us(now_us)
         if self.began_us is None:
             self.began_us = self.changed_us = self.without_us = now_us
         for event in events:
--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -312,8 +312,18 @@
 
 class Table(Pushed):
     SLOTS_A_HOST = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
+    seen: list[Any] | None = None
+    found: dict[int, int] = {}
 
     def slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
+        """As found last, while nothing that they follow from has moved: ten looks a second, one turn."""
+        listed = [fleet.state, fleet.zone, fleet.kind]
+        seen = [*listed, fleet.weight, fleet.cap, fleet.shut, fleet.cut, self.pushed, out]
+        if seen != self.seen:
+            self.seen, self.found = [figures.copy() for figures in seen], self.find_slots(fleet, out)
+        return self.found
+
+    def find_slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         able = [i for i in fleet.ready() if fleet.cap[i] and i not in out and self.admits(fleet, i)]
         hosts, suspects = [i for i in able if not fleet.shut[i]], [i for i in able if fleet.shut[i]]
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -209,10 +209,10 @@
         return next(name for name, link in self.core.state.links.items() if link.light)
 
     def say(self, seconds: float, *said: Said) -> list:
-        """The same words each half second for so long."""
+        """The same words each quarter of a second for so long."""
         out = []
-        for _ in range(int(seconds * 2)):
-            self.now += SECOND // 2
+        for _ in range(int(seconds * 4)):
+            self.now += SECOND // 4
             out += self.core.deliver(self.now, [*said])
         return out
 
@@ -228,8 +228,10 @@
 
 def test_nobody_calls_the_service_while_nobody_knows_anybody():
     core = Follow(FollowFacts("n0", "g", 300, 3, 2 * SECOND))
-    assert not core.deliver(0, []) and not core.deliver(SECOND, [Living(frozenset({"n1"}))])
-    assert Watch(True, None) in core.deliver(5 * SECOND, [Living(frozenset())])  # alone: in rounds by rank
+    assert not core.deliver(0, []) and not core.deliver(SECOND // 4, [Living(frozenset({"n1"}))])
+    core.deliver(SECOND // 2, [Living(frozenset())])
+    out = [action for at in range(3, 24) for action in core.deliver(at * SECOND // 4, [])]
+    assert out == [Noted("on_its_own"), Watch(True, None)]  # alone: in rounds by rank
 
 
 def test_a_watcher_that_stalls_is_left_for_the_next_and_nobody_at_all_for_the_service():
@@ -410,6 +412,19 @@
     assert told == [orjson.loads(item) for item in items]
 
 
+def test_a_steward_that_stood_still_does_not_find_all_others_late():
+    """Guards against hundreds that go to the service together because they were starved of their cores."""
+    stage = Stage()
+    said = [Said(stage.main(), 5, 0), Said(stage.witness(), 5, 0)]
+    stage.say(3, *said)
+    for _ in range(4):  # beats two seconds apart, with the others' words waiting behind them
+        stage.now += 2 * SECOND
+        assert not [a for a in stage.core.deliver(stage.now, []) if isinstance(a, Hang | Watch)]
+        stage.core.deliver(stage.now, [*said])
+    stage.say(3)
+    assert Watch(True, None) in stage.say(14)  # it is awake, and they are silent
+
+
 def test_watchers_that_have_all_lost_the_service_are_no_word():
     """Guards against a group whose three watchers are cut off from the list service while others are not."""
     stage = Stage()
