Slots of all tables are found anew together: they share the weights that slots stand for

Cause: two tables write what weight a host's slot stands for, the last one's word stays. Change: all tables' slots are kept, and found anew, together.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -312,18 +312,8 @@
 
 class Table(Pushed):
     SLOTS_A_HOST = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
-    seen: list[Any] | None = None
-    found: dict[int, int] = {}
 
     def slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
-        """As found last, while nothing that they follow from has moved: ten looks a second, one turn."""
-        listed = [fleet.state, fleet.zone, fleet.kind]
-        seen = [*listed, fleet.weight, fleet.cap, fleet.shut, fleet.cut, self.pushed, out]
-        if seen != self.seen:
-            self.seen, self.found = [figures.copy() for figures in seen], self.find_slots(fleet, out)
-        return self.found
-
-    def find_slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         able = [i for i in fleet.ready() if fleet.cap[i] and i not in out and self.admits(fleet, i)]
         hosts, suspects = [i for i in able if not fleet.shut[i]], [i for i in able if fleet.shut[i]]
@@ -387,6 +377,7 @@
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = -facts.messages_window_us
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
+        self.seen, self.found = list[Any](), list[dict[int, int]]()  # what slots follow from, and the slots
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
@@ -463,11 +454,20 @@
         if self.channel.batch:
             self.written_us = self.desk.now
 
+    def all_slots(self) -> list[dict[int, int]]:
+        """As found last, while nothing that they follow from has moved: ten looks a second, one turn."""
+        fleet, out = self.fleet, self.withdrawn | self.due
+        seen: list[Any] = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, out]
+        seen += [fleet.state, fleet.zone, fleet.kind, *(table.pushed for table in self.tables)]
+        if seen != self.seen:
+            self.seen = [figures.copy() for figures in seen]
+            self.found = [table.slots(fleet, out) for table in self.tables]
+        return self.found
+
     def changes(self) -> Iterator[Change]:  # worth more where a slot is to fall: txns there are late already
         fleet, products = self.fleet, sum(len(table.products) for table in self.tables)
         urge = max(1.0, (self.URGE * fleet.time_part / fleet.sla_us) ** 3)
-        for table in self.tables:
-            slots = table.slots(fleet, self.withdrawn | self.due)
+        for table, slots in zip(self.tables, self.all_slots()):
             part = len(table.products) / products / max(1, sum(slots.values()))
             fleet.least_move = max(fleet.least_move, self.line_price / (part * table.SLOTS_A_HOST))
             # Guards against a bare proxy: if no warm host is left in the table all goes out at once.
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -56,17 +56,18 @@
     """Guards against a tenth of a core spent on looks that find nothing new, at 500 hosts."""
     bench = ready_bench()
     feed(bench, 3)
-    table, found = bench.steward.publisher.tables[0], []
-    plain = type(table).find_slots
-    type(table).find_slots = lambda *words: found.append(words) or plain(*words)
+    publisher, found = bench.steward.publisher, []
+    table = type(publisher.tables[0])
+    plain = table.slots
+    table.slots = lambda *words: found.append(words) or plain(*words)
     try:
         bench.pass_time(SECOND // 2)
         turns = len(found)
         bench.give(changes(entry(100, DRAINING, zone=0, kind=0)))
         assert turns == 0 < len(found) and 100 not in bench.lines[0]
-        assert table.slots(bench.steward.fleet, set()) == plain(table, bench.steward.fleet, set())
+        assert publisher.all_slots() == [plain(publisher.tables[0], bench.steward.fleet, publisher.withdrawn)]
     finally:
-        type(table).find_slots = plain
+        table.slots = plain
 
 
 def test_a_stale_report_does_not_kick_the_derivative():
