Decisions take what was learned before the start: where weights begin, who starts shut

Need: knowledge of an earlier life, or of a peer, is to move where a steward starts from, and nothing else.

Change: note HostLearned (weight, health, ages). A host in trouble starts at the floor, and shut if it was shut (a third of the hosts at most); others start near their weight. Own txns know better. Beside old tables news may only lower a weight, since what such tables bring each host shows whom their writer shunned. News stand or fall as a whole: where what is seen (probes, sums, old tables) proves more of them wrong than right all is as it would have started. steward.learned() tells what was found out first-hand.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -43,6 +43,9 @@
         self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
         self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
         self.kin: dict[int, float] = {}  # by kind, the usual weight of its warm hosts, be they shut
+        # Learned before this start: weights, hosts in trouble, those shut by it alone; and its proofs
+        self.told, self.told_bad, self.on_news = dict[int, float](), set[int](), set[int]()
+        self.judged, self.right, self.wrong = set[int](), 0, 0
 
     def look(self) -> None:
         ready, heard = self.ready(), [i for i in self.playing() if self.tries[i] > 0]
@@ -61,6 +64,19 @@
         self.kin = {self.kind[kin[0]]: sum(self.weight[i] for i in kin) / len(kin)
                     for kin in grouped(warm, lambda i: self.kind[i])}
 
+    def judge(self, place: int, bad: bool) -> None:
+        """Guards against news that are all wrong: the whole of them stands or falls with what is seen."""
+        as_told = bad == (place in self.told_bad)
+        if place in self.told and place not in self.judged and (bad or not as_told):
+            self.judged.add(place)
+            self.right, self.wrong = self.right + as_told, self.wrong + (not as_told)
+        if self.wrong >= 2 and self.wrong > self.right:  # all is as it would have started without them
+            for i in self.on_news:
+                self.shut[i] = False
+            for i in self.told:
+                self.weight[i], self.standing[i] = self.listed[i], 0.0
+            self.told, self.on_news = {}, set()
+
     def kin_mean(self, place: int) -> float:  # of a kind not known warm the least: it may be small
         return self.kin.get(self.kind[place], min(self.kin.values(), default=1.0))
 
@@ -81,6 +97,8 @@
     FLOCK = 4.0  # takes a third off at a half voided, three quarters at nine tenths; with less hosts fell
     # Parts voided at which all txns soon flock to a new host: in any fleet, and in one that answers so late.
     DROWNING, TIPPING, LATE = 0.5, 0.3, 0.8
+    NEWS_US = 60 * SECOND_US  # half-life of what was learned before: troubles of hosts last about so long
+    MOST_NEWS = 1 / 3  # of the hosts may be shut by it alone: beyond, it is the news that are wrong
     SHUNS = 0.3  # tries a second that a proxy makes at a host: with fewer it hardly shuns any, and none flock
 
     def __init__(self, desk: Desk, fleet: Fleet, place: int) -> None:
@@ -88,8 +106,9 @@
         self.fleet, self.place, self.started_us, self.share = fleet, place, 0, 1.0
         self.shut_us = fleet.faded_us[place] = fleet.heard_us[place] = desk.now
         self.good_probes, self.bad_probes, self.needed = 0, 0, self.GOOD_PROBES
+        self.found_out = False  # by this steward: what it was told of a host it does not tell on
         self.work = {notes.HostEntry: self.on_entry, notes.HostSums: self.on_sums,
-                     notes.ProbeResult: self.on_probe, Beat: self.on_turn}
+                     notes.ProbeResult: self.on_probe, notes.HostLearned: self.on_learned, Beat: self.on_turn}
 
     def handle(self, note: Any) -> None:
         self.warm() if note is Beat.CHANGED else self.work[type(note)](note)
@@ -106,6 +125,9 @@
                 fleet.fade(i, 0.0)
                 fleet.error[i], fleet.integral[i], fleet.shut[i] = None, 0.0, False
                 self.share, self.needed, fleet.heard_us[i] = 1.0, self.GOOD_PROBES, self.desk.now
+                self.found_out = False
+                fleet.told.pop(i, None)
+                fleet.on_news.discard(i)
                 fleet.weight[i] = fleet.kin_mean(i) if fleet.kin else fleet.weight[i]
         self.warm()
 
@@ -133,11 +155,13 @@
         fleet, i, voided = self.fleet, self.place, min(sums.voided, sums.tries)
         fleet.hear(self.desk.now, SECOND_US // 4)  # which come together set the turns
         fleet.age(i, self.desk.now, MEMORY_US)
-        fleet.heard_us[i], fleet.news[i] = self.desk.now, True
+        fleet.heard_us[i], fleet.news[i], self.found_out = self.desk.now, True, True
         good = sums.tries - voided if 0 < sums.mean_us < NO_CAP else 0
         fleet.tries[i] += good + voided
         fleet.voided[i] += voided
         fleet.time_us[i] += (good * sums.mean_us if good else 0.0) + voided * fleet.sla_us
+        if fleet.tries[i] >= self.LEAST_VOIDED:
+            fleet.judge(i, 2 * fleet.voided[i] > fleet.tries[i])
         fleet.add_report(i, sums.report)
 
     def on_probe(self, probe: notes.ProbeResult) -> None:
@@ -150,6 +174,7 @@
         elif probe.outcome is not Outcome.TURNED_AWAY:
             self.good_probes, self.bad_probes = 0, self.bad_probes + 1
             self.fleet.cut[self.place] = probe.outcome is Outcome.UNREACHED
+            self.fleet.judge(self.place, True)
             self.consider_shutting()
 
     def consider_shutting(self) -> None:
@@ -159,10 +184,34 @@
         spared = sum(fleet.shut[i] for i in fleet.ready()) + 1 <= self.MOST_SHUT * len(fleet.ready())
         usual = fleet.best_part if fleet.cut[i] else fleet.voided_part  # in an overload probes get through
         if enough and spared and i in fleet.playing() and (cut or self.suspect(usual)):
-            fleet.shut[i], self.shut_us = True, self.desk.now
+            fleet.shut[i], self.shut_us, self.found_out = True, self.desk.now, True
+            fleet.on_news.discard(i)
         elif not enough and i in fleet.playing() and self.suspect(fleet.best_part):
             self.desk.out += fleet.probes([i])  # no second one that waits for the turn
 
+    def on_learned(self, told: notes.HostLearned) -> None:
+        """Guards against a start that is blind: hosts that void everything would get their full part again.
+
+        It moves where the steward starts from, no more: own txns know better. Harm: a host that got well
+        meanwhile waits for its probes, or grows back from a small weight.
+        """
+        fleet, i = self.fleet, self.place
+        if fleet.state[i] is not HostState.READY or fleet.tries[i] >= self.LEAST_VOIDED or fleet.judged:
+            return
+        sure, known = (0.5 ** (age / self.NEWS_US) for age in (told.health_age_us, told.powers_age_us))
+        bad = sure > 0.5 and (told.shut or 2 * told.voided > told.tries)
+        (fleet.told_bad.add if bad else fleet.told_bad.discard)(i)
+        weight = Balancer.FLOOR if bad else min(Balancer.OWN_MOST, max(Balancer.FLOOR, told.weight))
+        fleet.told[i] = weight ** known
+        if fleet.learning_us is None:
+            fleet.weight[i], fleet.standing[i] = fleet.told[i], 0.0  # no slot holds the weight back
+        shut, ready = sum(fleet.shut[j] for j in fleet.ready()) + 1, len(fleet.ready())
+        if told.shut and bad and not fleet.shut[i] and shut <= self.MOST_NEWS * ready:
+            fleet.shut[i], self.shut_us = True, self.desk.now
+            fleet.on_news.add(i)
+            self.needed = min(self.MOST_PROBES, max(self.GOOD_PROBES, told.needed))
+            self.desk.out += fleet.probes([i])
+
     def on_turn(self, _: Beat) -> None:
         fleet, i = self.fleet, self.place
         if fleet.state[i] is not HostState.READY:
@@ -192,6 +241,7 @@
         waited = self.desk.now - self.shut_us > self.needed * SECOND_US
         if self.good_probes >= self.needed or (waited and not fleet.may_probe):
             fleet.shut[i], self.share, fleet.heard_us[i] = False, self.ENTRY, self.desk.now
+            fleet.on_news.discard(i)
             fleet.fade(i, 0.0)
             self.needed = min(self.MOST_PROBES, self.needed * 2)
 
@@ -211,6 +261,7 @@
     PRIOR_TRIES = 3.0  # shrinks a host's mean time, or weight, to its kind's while few tries are counted
     PROBED_US = SECOND_US // 4  # a probe that takes longer tells nothing of speed
     OWN_LEAST, OWN_MOST = 0.7, 1.4  # of its kind's: single probes are off by twice, some answer at once
+    SHUNNED = 0.3  # of the mean tries that old tables bring a host: less, and who wrote them shunned it
     ENOUGH, WAIT_US, SETTLED = 8.0, 5 * SECOND_US, 6  # tries a host, and time, to take over; its turn by then
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
@@ -261,6 +312,9 @@
         mean = sum(shown[i] for i in playing) / len(playing) or 1.0
         if waited > wait_us or (mean >= self.ENOUGH if fleet.old else all(shown[i] for i in playing)):
             fleet.learning_us, self.turns = None, self.SETTLED * fleet.old
+            for i in list(fleet.told) if fleet.old else ():  # old tables show whom those who wrote them shunned
+                fleet.judge(i, shown[i] < self.SHUNNED * mean)
+            playing = fleet.playing()
             for kin in grouped(playing, lambda i: fleet.kind[i]):
                 usual = sorted(shown[i] for i in kin)[len(kin) // 2] or mean
                 kind = (sum(shown[i] for i in kin) + self.PRIOR_TRIES) / (mean * len(kin) + self.PRIOR_TRIES)
@@ -269,6 +323,9 @@
                     own = max(self.OWN_LEAST, min(self.OWN_MOST, (shown[i] / usual) ** 0.5)) * usual / mean
                     by_tries = kind * (shown[i] + self.PRIOR_TRIES) / (kind * mean + self.PRIOR_TRIES)
                     fleet.weight[i] = by_tries if fleet.old else own
+                    if i in fleet.told:  # beside old tables it may only lower a weight
+                        least = fleet.weight[i] if fleet.old else NO_CAP
+                        fleet.weight[i] = min(fleet.told[i], least)
             fleet.rescale(playing)
 
     def fills(self, playing: list[int]) -> dict[int, float]:
--- a/plankroute/interface/notes.py
+++ b/plankroute/interface/notes.py
@@ -162,10 +162,28 @@
     state: StewardState
 
 
+@dataclass(frozen=True, slots=True)
+class HostLearned:
+    """What an earlier life of this steward, or another one, knew of a host's present start. It may be wrong.
+
+    `weight`: 1 is the mean of its fleet; `tries`, `voided`: fading sums as they stood then; `needed`: good
+    probes that bring it back if it is shut; the ages: since its health, and its powers, were heard of."""
+
+    host: int
+    weight: float
+    tries: float
+    voided: float
+    mean_us: float
+    shut: bool
+    needed: int
+    health_age_us: int
+    powers_age_us: int
+
+
 @dataclass(frozen=True, slots=True)
 class TimerDue:
     token: int
 
 
 Note = (HostList | ProxyJoined | ProxyLeft | HostSums | ProxyTraffic | SliceTraffic | SliceCharge
-        | SliceLine | Applied | ProbeResult | PeerMessage | StewardSeen | TimerDue)
+        | SliceLine | Applied | ProbeResult | PeerMessage | StewardSeen | HostLearned | TimerDue)
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -44,6 +44,9 @@
                 return self.on_list(note)
             case notes.TimerDue():
                 return self.on_timer(note.token)
+            case notes.HostLearned() if note.host in self.fleet.index:
+                self.desk.put(self.hosts[self.fleet.index[note.host]], note)
+                return Beat.CHANGED
             case notes.HostSums() | notes.ProbeResult() if note.host in self.fleet.index:
                 self.desk.put(self.hosts[self.fleet.index[note.host]], note)
                 if isinstance(note, notes.HostSums):
@@ -76,6 +79,17 @@
             self.desk.put(part, Beat.CHANGED)
         return Beat.CHANGED
 
+    def learned(self) -> list[notes.HostLearned]:
+        """What this steward has found out by itself of the hosts listed ready; not what it was told."""
+        fleet, out = self.fleet, list[notes.HostLearned]()
+        for host, i in fleet.index.items():
+            if fleet.state[i] is HostState.READY and self.hosts[i].found_out:
+                tries, age_us = fleet.tries[i], self.desk.now - fleet.heard_us[i]
+                mean_us = fleet.time_us[i] / tries if tries else 0.0
+                out.append(notes.HostLearned(host, fleet.weight[i], tries, fleet.voided[i], mean_us,
+                                             fleet.shut[i], self.hosts[i].needed, age_us, age_us))
+        return out
+
     def forget(self, hosts: list[int]) -> None:
         for host in hosts:
             place = self.fleet.remove(host)
