--- a/plankroute/coldstart/early.py
+++ b/plankroute/coldstart/early.py
@@ -2,23 +2,23 @@
 
 A drain heard from anyone holds until a list of its revision or a higher one says otherwise. Opens no host."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from dataclasses import dataclass
-from typing import Any
+
+from plankroute.interface.notes import HostState
 
 SECOND_US = 1_000_000
-CLOSED = frozenset({"DRAINING", "DELETED"})
 MOST_PART = 0.5  # of the hosts that are listed: a peer's word alone must leave proxies somebody to pick
 HOLD_US = 60 * SECOND_US  # without the list that it announced: as long as a first list may take (`follow.py`)
 
 
 @dataclass(frozen=True, slots=True)
 class Told:
-    """One host, closed at a revision; `by`: the steward that said so."""
+    """One host, closed at a revision; `by`: the steward, or the file, that said so."""
 
+    state: HostState
     revision: int
     by: str
-    item: dict[str, Any]
     at_us: int
 
 
@@ -33,20 +33,19 @@
         self.told: dict[str, Told] = {}
         self.refused = 0  # beyond what is believed ahead of a list: they come with it
 
-    def hear(self, now_us: int, name: str, revision: int, items: Iterable[Any], held: int,
-             listed: int) -> list[dict[str, Any]]:
+    def hear(self, now_us: int, name: str, revision: int, closed: Iterable[tuple[str, HostState]], held: int,
+             listed: int) -> list[str]:
         """Those that are new and believed; `held`: the revision of this steward's list, of `listed` hosts."""
         taken = []
-        for item in items if revision > held else ():
-            uid = item.get("uid") if isinstance(item, dict) else None
-            if not isinstance(uid, str) or item.get("state") not in CLOSED:
-                continue
+        for uid, state in closed if revision > held else ():
             known = self.told.get(uid)
+            if state is HostState.READY:
+                continue
             if known is None and len(self.told) + 1 > MOST_PART * listed:
                 self.refused += 1
             elif known is None or known.revision < revision:
-                self.told[uid] = Told(revision, name, item, now_us)
-                taken.append(item)
+                self.told[uid] = Told(state, revision, name, now_us)
+                taken.append(uid)
         return taken
 
     def settle(self, revision: int | None) -> list[str]:
@@ -65,8 +64,3 @@
         for uid in uids:
             del self.told[uid]
         return sorted(uids)
-
-
-def closed_items(newest: Mapping[str, dict[str, Any]]) -> list[dict[str, Any]]:
-    """Of the newest words on each host, those that close it."""
-    return [item for item in newest.values() if item.get("state") in CLOSED]
--- a/plankroute/coldstart/frames.py
+++ b/plankroute/coldstart/frames.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-VERSION = 2
+VERSION = 2  # of the frames and of what they mean: others are not heard
 LENGTH = struct.Struct("!I")
 MOST_FRAME = 65536  # bytes: a part of a list and little else
 PART_BYTES = 16384  # of a list in one frame: on a link of 50 KB/s one comes each third of a second
@@ -57,7 +57,30 @@
     targets: bytes
 
 
-Frame = Hello | Begin | Part | Beat | Probed | Drains
+class Ask(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The first frame of who wants to know what is known of the hosts, and what was left here for `name`."""
+
+    version: int
+    group: str
+    name: str
+
+
+class Keep(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """The first frame of who is about to end, and leaves what it knows for its successor of that name."""
+
+    version: int
+    group: str
+    name: str
+
+
+class ViewOf(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """A view follows, as a list does (`Begin`, `Part`): whose, and how long ago it was written down."""
+
+    name: str
+    age_us: int
+
+
+Frame = Hello | Begin | Part | Beat | Probed | Drains | Ask | Keep | ViewOf
 ENCODER, DECODER = msgspec.msgpack.Encoder(), msgspec.msgpack.Decoder(Frame)
 
 
@@ -72,6 +95,7 @@
 
     def __init__(self) -> None:
         self.held, self.is_spoilt = bytearray(), False
+        self.waiting: list[Frame | None] = []  # cut, and yet to be read by whoever reads on
 
     def feed(self, data: bytes) -> list[Frame | None]:
         out: list[Frame | None] = []
--- a/plankroute/coldstart/lists.py
+++ b/plankroute/coldstart/lists.py
@@ -7,10 +7,9 @@
 
 import orjson
 
-from plankroute.coldstart.early import closed_items
-
 MOST_CHANGES = 4096  # kept: more than an hour of releases; who is further behind gets the whole list
 DELETED = "DELETED"
+CLOSED = frozenset({"DRAINING", DELETED})
 
 
 class HeldList:
@@ -62,7 +61,8 @@
     def closings(self, revision: int) -> list[dict[str, Any]]:
         """Entries that close a host since then; where changes are not all known, all that drain now."""
         known = self.complete_from <= revision <= self.revision
-        return closed_items(self.newest(revision) if known else self.entries)
+        newest = self.newest(revision) if known else self.entries
+        return [item for item in newest.values() if item.get("state") in CLOSED]
 
 
 class Incoming:
--- a/plankroute/lab/hosts.py
+++ b/plankroute/lab/hosts.py
@@ -17,6 +17,7 @@
     def __init__(self, number: int, net: int) -> None:
         self.addresses = [f"127.251.{net}.{host % 250 + 1}:{PORT + host // 250}" for host in range(number)]
         self.servers: list[asyncio.Server] = []
+        self.bad = set[int]()  # those that answer probes with an error
         self.probes: Counter[tuple[int, int]] = Counter()  # by host and bin
         self.open_now: Counter[int] = Counter()
         self.most_open = 0
@@ -42,8 +43,9 @@
             async with asyncio.timeout(HEAD_S):
                 await reader.readuntil(b"\r\n\r\n")
             self.probes[host, int((time.monotonic() - self.began_s) / BIN_S)] += 1
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
-                         % (len(ANSWER), ANSWER))
+            said = b"503 No" if host in self.bad else b"200 OK"
+            writer.write(b"HTTP/1.1 %s\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s"
+                         % (said, len(ANSWER), ANSWER))
             await writer.drain()
             writer.close()
         except (OSError, TimeoutError, asyncio.IncompleteReadError, asyncio.CancelledError):
--- a/plankroute/net/careful.py
+++ b/plankroute/net/careful.py
@@ -67,8 +67,7 @@
         return asked
 
     def hear(self) -> None:
-        """The service was heard; an empty line of a watch counts: nothing may have changed for hours."""
-        self.heard_us = now_us()
+        super().hear()
         self.times_heard += 1
         self.mend_age()
 
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -1,6 +1,7 @@
 """Discovery: the list of hosts, by a watch that is renewed whenever it ends or falls silent."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 from typing import Any
@@ -20,6 +21,8 @@
 AGAIN_S = 0.3  # pause before a new try, by half either way: a list may count as told 6 s after it was due
 MOST_LOGGED = 30  # entries of a list
 MOST_TEXT = 200  # characters of what came instead
+Over = Callable[[int, bool, notes.HostList], notes.HostList]  # revision, whole, and what the core is to hear
+NO_WORD_US = 1 << 40  # the age of a word that never came
 LIST_FAILED = notes.HostList(ListKind.FAILED, ())
 
 
@@ -34,6 +37,8 @@
         self.revision: int | None = None  # None: the next call is to bring the whole list
         self.asking = set[asyncio.Task[None]]()
         self.watching: asyncio.Task[None] | None = None
+        self.has_word, self.heard_us = False, 0  # of discovery itself, and when: steady microseconds
+        self.over: Over | None = None  # what knows of drains ahead of lists, where that is switched on
 
     def start(self, known: Any) -> None:
         """The list handed over at the start goes to the core first."""
@@ -142,7 +147,12 @@
         return None
 
     def hear(self) -> None:
-        """A whole line came, an empty one too; what is called with care keeps the time."""
+        """A whole line came, an empty one too: nothing may have changed for hours."""
+        self.has_word, self.heard_us = True, time.monotonic_ns() // 1000
+
+    def age_us(self) -> int:
+        """How old discovery's word is here."""
+        return time.monotonic_ns() // 1000 - self.heard_us if self.has_word else NO_WORD_US
 
     def take(self, text: bytes) -> bool:
         """A list goes to the core; False where it can't be used, and the old one stays."""
@@ -159,6 +169,8 @@
 
     def note(self, said: ListSaid, kind: ListKind | None = None) -> None:
         listed, refused = self.directory.note(said, kind)
+        if self.over:
+            listed = self.over(said.revision, said.whole, listed)
         if refused:
             self.book.refuse("discovery", "entries that can't be taken", entries=refused)
         self.book.count("taken.lists")
--- a/plankroute/net/extras.py
+++ b/plankroute/net/extras.py
@@ -1,5 +1,6 @@
 """What our own file switches on, put together. Imported only where there is such a file."""
 
+import asyncio
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Any
 
@@ -12,12 +13,15 @@
 from plankroute.net.book import Book
 from plankroute.net.boot import Boot
 from plankroute.net.careful import CarefulDiscovery
+from plankroute.net.directory import Directory
 from plankroute.net.discovery import Discovery
 from plankroute.net.members import Members, Self
 from plankroute.net.probes import Prober
 from plankroute.ownfile import ColdStartPart, OwnFile
+from plankroute.steward import Steward
 
 if TYPE_CHECKING:
+    from plankroute.net.learned import LearnedParts
     from plankroute.net.shared import SharedDiscovery
 
 
@@ -25,12 +29,13 @@
     """Each part is there, or None where its section is missing."""
 
     def __init__(self, own: OwnFile, boot: Boot, book: Book, put: Callable[[notes.Note], None]) -> None:
-        self.own, self.boot, self.book = own, boot, book
+        self.own, self.boot, self.book, self.put = own, boot, book, put
         zones, zone = boot.zones, boot.facts.own_zone
         self.me = Self(boot.name, zones[zone] if zone < len(zones) else "", boot.seed)
         self.members = Members(own.membership, self.me, book, put) if own.membership else None
         self.careful: CarefulDiscovery | None = None
         self.shared: SharedDiscovery | None = None
+        self.learned: LearnedParts | None = None
 
     def make_discovery(self, *words: Any) -> Discovery:
         """Takes what a Discovery takes."""
@@ -68,9 +73,38 @@
         view = self.members.core.view
         return {view.at(place).name: view.at(place).zone for place in (0, *view.living())}
 
+    def attach(self, steward: Steward, directory: Directory, discovery: Discovery) -> None:
+        """Before the first list; after `make_discovery`."""
+        if (part := self.own.learned) is None:
+            return
+        from plankroute.net.ahead import DrainsAhead
+        from plankroute.net.learned import LearnedParts
+        shared, book = self.shared, self.book
+        ahead = shared.ahead if shared else DrainsAhead(directory, book, self.put)
+        discovery.over = ahead.over
+        group, own_host = (shared.group, host_and_port(shared.listen)[0]) if shared else ("", "")
+        self.learned = LearnedParts(part, self.me.name, group, own_host, book, self.put)
+        self.learned.attach(steward, directory, discovery, ahead)
+        if shared:
+            shared.server.views, self.learned.peers = self.learned, self.peers
+
+    def peers(self) -> list[tuple[str, tuple[str, int]]]:
+        """Living members with their links' addresses, as this steward asks them."""
+        from plankroute.net.learned import in_order
+        assert self.members and self.shared
+        view = self.members.core.view
+        hosts = {view.at(place).name: host_and_port(view.at(place).address)[0] for place in view.living()}
+        return [(name, (hosts[name], self.shared.port)) for name in in_order(list(hosts), self.me.name)]
+
+    async def recall(self) -> None:
+        if self.learned:
+            await self.learned.recall()
+
     def start(self) -> None:
         if self.members:
             self.members.start()
+        if self.learned:
+            self.learned.start()
 
     def reload(self, own: OwnFile | None) -> list[str]:
         """Seeds change; the names of what else differs, which waits for a restart."""
@@ -83,10 +117,13 @@
         return kept
 
     async def close(self) -> None:
+        """In what operators leave after SIGTERM: what is learned is handed over meanwhile."""
+        last = [self.learned.hand_over()] if self.learned else []
+        if self.members:
+            last.append(self.members.leave())
+        await asyncio.gather(*last)
         if self.careful:
             self.careful.close()
-        if self.members:
-            await self.members.leave()
 
 
 def call_facts(part: ColdStartPart, boot: Boot) -> CallFacts:
--- a/plankroute/net/links.py
+++ b/plankroute/net/links.py
@@ -5,15 +5,15 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from typing import Protocol
 from zlib import crc32
 
 import orjson
 
-from plankroute.coldstart.frames import (PART_BYTES, VERSION, Beat, Begin, Drains, Frame, FrameCutter, Hello,
-                                         Part, Probed, write_frame)
-from plankroute.coldstart.lists import HeldList
+from plankroute.coldstart.frames import (PART_BYTES, VERSION, Ask, Beat, Begin, Drains, Frame, FrameCutter,
+                                         Hello, Keep, Part, Probed, ViewOf, write_frame)
+from plankroute.coldstart.lists import HeldList, Incoming
 from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
 
@@ -28,6 +28,15 @@
 MOST_RESULTS = 256  # of probes in one frame
 
 
+class Views(Protocol):
+    """Who knows what is learned of hosts, and keeps it for others: `net.learned`."""
+
+    most: int
+
+    def for_another(self, name: str) -> list[tuple[str, int, bytes]]: ...
+    def keep(self, name: str, data: bytes) -> None: ...
+
+
 class Owner(Protocol):
     """Who has the links: `net.shared`."""
 
@@ -56,6 +65,7 @@
         self.owner, self.server = owner, None
         self.served: dict[Served, None] = {}
         self.taken = 0
+        self.views: Views | None = None  # where what is learned is told to others
 
     async def open(self, address: str) -> None:
         """Raises OSError."""
@@ -95,6 +105,9 @@
             if (hello := await self.hello(reader, cutter)) is None:
                 book.count("links.dropped.hello")
                 return
+            if not isinstance(hello, Hello):
+                await self.serve_views(hello, reader, writer, cutter)
+                return
             writer.transport.set_write_buffer_limits(high=UNSENT_BYTES, low=0)
             writer.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT,
                                                        UNSENT_BYTES)
@@ -116,7 +129,23 @@
                 self.served.pop(served, None)
             writer.transport.abort()
 
-    async def hello(self, reader: asyncio.StreamReader, cutter: FrameCutter) -> Hello | None:
+    async def serve_views(self, first: Ask | Keep, reader: asyncio.StreamReader,
+                          writer: asyncio.StreamWriter, cutter: FrameCutter) -> None:
+        """What is learned of hosts, asked for or left here; in `STUCK_S`, whole or not at all."""
+        assert self.views
+        async with asyncio.timeout(STUCK_S):
+            if isinstance(first, Keep):
+                async for _, _, data in read_views(reader, cutter, self.views.most):
+                    self.views.keep(first.name, data)
+                return
+            for name, age_us, data in self.views.for_another(first.name):
+                for frame in frames_of_view(name, age_us, data):
+                    writer.write(frame)
+                    await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+
+    async def hello(self, reader: asyncio.StreamReader, cutter: FrameCutter) -> Hello | Ask | Keep | None:
         """Guards against strangers, other versions and other groups: they have said nothing of use by
         then."""
         async with asyncio.timeout(HELLO_S):
@@ -126,16 +155,22 @@
                     return None
                 frames = cutter.feed(data)
         first = frames[0]
-        good = isinstance(first, Hello) and first.version == VERSION and first.group == self.owner.group
+        cutter.waiting += frames[1:]
+        is_one = isinstance(first, Hello) or (self.views is not None and isinstance(first, Ask | Keep))
+        good = is_one and first.version == VERSION and first.group == self.owner.group
         return first if good else None  # type: ignore[return-value]
 
     async def read(self, reader: asyncio.StreamReader, cutter: FrameCutter, served: Served) -> None:
-        while data := await reader.read(READ_AT_ONCE):
-            for frame in cutter.feed(data):
+        frames, cutter.waiting = cutter.waiting, []
+        while True:
+            for frame in frames:
                 if not isinstance(frame, Probed):
                     return
                 self.owner.heard_results(frame)
                 self.share(list(frame.results[:MOST_RESULTS]), served)
+            if not (data := await reader.read(READ_AT_ONCE)):
+                return
+            frames = cutter.feed(data)
 
     async def give(self, served: Served, reading: asyncio.Task[None]) -> None:
         """Lists as they change, beats in between, until the other end goes."""
@@ -194,6 +229,39 @@
             await served.writer.drain()
 
 
+def frames_of_view(name: str, age_us: int, data: bytes) -> list[bytes]:
+    """A view as frames; in parts, so that no frame is longer than any other."""
+    parts = [Part(data[at:at + PART_BYTES]) for at in range(0, len(data), PART_BYTES)]
+    return [write_frame(frame) for frame in (ViewOf(name, age_us), Begin(0, True, len(data), crc32(data)),
+                                             *parts)]
+
+
+async def read_views(reader: asyncio.StreamReader, cutter: FrameCutter,
+                     most: int) -> AsyncIterator[tuple[str, int, bytes]]:
+    """Whole views alone: what breaks off, is too large or spoilt ends it. Bounded in time by its callers."""
+    incoming, of = Incoming(most), ViewOf("", 0)
+    frames, cutter.waiting = cutter.waiting, []
+    while True:
+        for frame in frames:
+            match frame:
+                case ViewOf():
+                    of = frame
+                case Begin(revision, whole, size, check, 0):
+                    if incoming.begin(revision, whole, size, check, 0):
+                        return
+                case Part(data):
+                    view, objection = incoming.add(data)
+                    if objection:
+                        return
+                    if view is not None:
+                        yield of.name, of.age_us, view
+                case _:
+                    return
+        if not (data := await reader.read(READ_AT_ONCE)):
+            return
+        frames = cutter.feed(data)
+
+
 def in_pieces(items: list[bytes], most: int) -> list[bytes]:
     """JSON arrays of them, none longer than that; an item that is, by itself, comes with the list."""
     pieces, piece, size = [], list[bytes](), 2
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -63,6 +63,8 @@
                                   self.listener.room_for_probes, put)
         self.router.probe = self.prober.probe
         self.router.ask, self.router.forget = self.discovery.obey, self.directory.forget
+        if self.extras:
+            self.extras.attach(self.router.steward, self.directory, self.discovery)
 
     def extras_of(self, own: "OwnFile | None") -> "Extras | None":
         if own is None:
@@ -80,6 +82,8 @@
         if self.boot.facts.slices:
             self.book.say_once("unsupported_slices")
         self.discovery.start(self.boot.known)
+        if self.extras:
+            await self.extras.recall()
         self.router.flush()  # the core has its list before anybody can ask whether the steward is alive
         await self.open()
         self.book.log.event("info", "listening", address=self.boot.listen,
--- a/plankroute/net/shared.py
+++ b/plankroute/net/shared.py
@@ -5,31 +5,37 @@
 import asyncio
 import traceback
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Literal
 
+import msgspec
 import orjson
 
 from plankroute.coldstart.calls import Began, CallFacts, Caller, Event
-from plankroute.coldstart.early import EarlyDrains
 from plankroute.coldstart.follow import (BEAT_US, NO_WORD_US, Action, BeatDue, Dial, Ended, Follow,
                                          FollowFacts, Hang, Holds, Living, Moved, Noted, Said, Watch)
 from plankroute.coldstart.follow import Event as FollowEvent
 from plankroute.coldstart.frames import VERSION, Beat, Begin, Drains, Frame, Hello, Part, Probed
 from plankroute.coldstart.lists import HeldList, Incoming
-from plankroute.interface.notes import ListKind
 from plankroute.net.address import host_and_port
+from plankroute.net.ahead import DrainsAhead
 from plankroute.net.careful import CarefulDiscovery, now_us
-from plankroute.net.catalogue import EntrySaid, ListSaid, Unread, entry_from
+from plankroute.net.catalogue import STATES
 from plankroute.net.discovery import Discovery
 from plankroute.net.links import LinkClient, LinkServer
 from plankroute.net.members import Members
 
 PLACE_US = 200_000  # between first calls of watchers: the second finds the list on its way already
-MOST_LOGGED = 30  # hosts of one frame
 OPEN_EVERY_S = 1.0  # between tries for an address that is held
 WARNINGS = frozenset({"left_behind", "left_old", "left_ahead", "left_stalled", "began_anew", "on_its_own"})
 
 
+class Closed(msgspec.Struct):
+    """Of an entry of the list, what a drain ahead of it needs."""
+
+    uid: str
+    state: Literal["DRAINING", "DELETED"]
+
+
 class SharedDiscovery(CarefulDiscovery):
     """Needs membership; `prepare_links` before `start`."""
 
@@ -38,8 +44,8 @@
         self.members, self.roles, self.listen, self.port = members, Follow(facts), listen, port
         self.name, self.group, self.call_facts, self.seed = facts.name, facts.group, call, seed
         self.held, self.server = HeldList(), LinkServer(self)
-        self.early, self.unsettled = EarlyDrains(), list[str]()
-        self.has_word = False  # of the service, be it by way of others; the list handed over is none
+        self.ahead = DrainsAhead(self.directory, self.book, self.put)
+        self.over = self.ahead.over
         self.clients: dict[str, LinkClient] = {}
         self.incoming: dict[str, Incoming] = {}
         self.partial: Incoming | None = None  # what has come of a whole list, wherever it goes on
@@ -86,7 +92,7 @@
                 self.version = view.version
                 events.append(Living(frozenset(view.at(place).name for place in view.living())))
             self.work(events)
-            self.reopen(self.early.expire(now_us()))
+            self.ahead.reopen(self.ahead.core.expire(now_us()))
             await asyncio.sleep(BEAT_US / 1e6)
 
     def work(self, events: list[FollowEvent]) -> None:
@@ -115,7 +121,7 @@
                 level = "warning" if what in WARNINGS else "info"
                 self.book.log.event(level, f"follow_{what}", other=name, revision=self.held.revision)
                 if what == "left_ahead":
-                    self.reopen(self.early.left(name))
+                    self.ahead.reopen(self.ahead.core.left(name))
 
     async def calls(self, place: int | None) -> None:
         """To the service: a watcher at once, and in rounds of the few watchers; else as everybody alone."""
@@ -134,7 +140,6 @@
     def hear(self) -> None:
         """A watch that goes on from the revision held says that the service knows it."""
         super().hear()
-        self.has_word = True
         if self.roles.is_asking and self.held.revision >= 0:
             self.work([Holds(self.held.revision, True)])
 
@@ -147,8 +152,6 @@
 
     def believe(self, text: bytes, by_service: bool) -> None:
         self.held.take(orjson.loads(text))
-        unsettled, self.unsettled = self.unsettled, []
-        self.reopen(unsettled)
         self.server.changed()
         self.work([Holds(self.held.revision, by_service)])
 
@@ -168,10 +171,6 @@
         self.believe(text, by_service=False)
         return None
 
-    def age_us(self) -> int:
-        """How old the service's word is here, be it by way of others."""
-        return now_us() - self.heard_us if self.has_word else NO_WORD_US
-
     def hear_frame(self, name: str, frame: Frame) -> str | None:
         """Why the link is of no more use, if so."""
         incoming = self.incoming.setdefault(name, Incoming(self.limits.most_body))
@@ -207,47 +206,15 @@
     def heard_results(self, frame: Probed) -> None:
         self.on_results(frame)
 
-    # Drains ahead of the list that holds them
-
     def heard_drains(self, name: str, revision: int, targets: bytes) -> str | None:
         """Why they can't be read, if so."""
         try:
-            items = orjson.loads(targets)
-        except orjson.JSONDecodeError:
-            return "no drains"
-        if not isinstance(items, list):
+            said = msgspec.json.decode(targets, type=list[Closed])
+        except msgspec.MsgspecError:
             return "no drains"
-        new = self.early.hear(now_us(), name, revision, items, self.held.revision, len(self.held.entries))
-        self.book.counts["early.refused"] = self.early.refused
-        if new:
-            self.book.count("early.drains", len(new))
-            self.book.log.event("info", "drains_early", other=name, revision=revision,
-                                hosts=[item["uid"] for item in new[:MOST_LOGGED]])
-            # Of hosts that are known here; those that are not come with their list.
-            self.put_changes(revision, [item for item in new if item["uid"] in self.directory.ids])
+        self.ahead.hear(name, revision, [(item.uid, STATES[item.state]) for item in said])
         return None
 
-    def put_changes(self, revision: int, items: list[dict[str, Any]]) -> None:
-        listed, _ = self.directory.note(ListSaid(revision, False, tuple(map(entry_from, items))))
-        self.put(listed)
-
-    def reopen(self, uids: list[str]) -> None:
-        """What was told of them no longer counts: they are again as the list that is held has them."""
-        items = [item for uid in uids if (item := self.held.entries.get(uid)) is not None]
-        if items:
-            self.put_changes(self.held.revision, items)
-
-    def note(self, said: ListSaid, kind: ListKind | None = None) -> None:
-        """A list that is believed settles what was told up to its revision; the rest holds on over it."""
-        began_anew = said.whole and said.revision < self.held.revision
-        self.unsettled += self.early.settle(None if began_anew else said.revision)
-        super().note(ListSaid(said.revision, said.whole, tuple(map(self.or_early, said.entries))), kind)
-
-    def or_early(self, said: EntrySaid | Unread) -> EntrySaid | Unread:
-        told = self.early.told.get(said.uid or "")
-        early = entry_from(told.item) if told else said
-        return early if isinstance(early, EntrySaid) else said
-
     # Links
 
     def dial(self, wanted: Dial) -> None:
--- a/plankroute/ownfile.py
+++ b/plankroute/ownfile.py
@@ -92,11 +92,26 @@
     links: LinksPart | None = None
 
 
+class LearnedPart(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """What is learned of hosts outlives a steward (docs/learned.md)."""
+
+    folder: Annotated[str, msgspec.Meta(min_length=1, max_length=1024, description="that lasts, and is "
+                                        "this steward's to write; none: nothing is written")] | None = None
+    every_s: Annotated[float, msgspec.Meta(
+        ge=0.01, le=3600, description="between two writings, where something has changed")] = 3.0
+    limit_s: Annotated[float, msgspec.Meta(
+        ge=0, le=2_592_000, description="news that are older count for nothing; 0: none count")] = 900.0
+    ask_peers: Annotated[int, msgspec.Meta(
+        ge=0, le=2, description="living stewards that are asked at the start; needs coldstart.links")] = 2
+    ask_ms: Annotated[int, msgspec.Meta(ge=50, le=10_000, description="for a whole answer")] = 1000
+
+
 class OwnFile(msgspec.Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """deploy/plankroute.json: each section switches one part on."""
 
     membership: MembershipPart | None = None
     coldstart: ColdStartPart | None = None
+    learned: LearnedPart | None = None
 
 
 class OwnFileError(StartError):
--- a/tests/test_coldstart.py
+++ b/tests/test_coldstart.py
@@ -18,11 +18,15 @@
                                          write_frame)
 from plankroute.coldstart.lists import HeldList, Incoming
 from plankroute.coldstart.probers import Result, Survey, is_drawn, probers_of
+from plankroute.interface import notes
+from plankroute.interface.notes import HostState
 from plankroute.lab.cold import Case, down_until, run_case
 from plankroute.lab.coldcases import CASES, run_cold
-from plankroute.lab.listservice import Behaviour, Mode, Phase
+from plankroute.lab.listservice import Behaviour, Mode, Phase, target
+from plankroute.net.ahead import DrainsAhead
 from plankroute.net.book import Book, Log
 from plankroute.net.careful import CarefulDiscovery
+from plankroute.net.catalogue import list_from
 from plankroute.net.clock import Clock
 from plankroute.net.directory import Directory
 from plankroute.net.links import LinkServer, in_pieces
@@ -312,16 +316,15 @@
 # Drains ahead of the list
 
 
-DRAINS = [entry(uid, "DRAINING") for uid in "abc"]
+DRAINS = [(uid, HostState.DRAINING) for uid in "abc"]
 
 
 def test_a_drain_told_ahead_holds_until_a_list_of_its_revision_says_otherwise():
     early = EarlyDrains()
-    mixed = [*DRAINS, entry("d"), {"state": "DRAINING"}, 5]
-    assert early.hear(0, "n1", 7, mixed, held=5, listed=10) == DRAINS
+    assert early.hear(0, "n1", 7, [*DRAINS, ("d", HostState.READY)], held=5, listed=10) == ["a", "b", "c"]
     assert not early.hear(0, "n2", 7, DRAINS, 5, 10)  # known already
-    assert not early.hear(0, "n2", 5, [entry("e", "DELETED")], 5, 10)  # the list held says more
-    assert early.hear(0, "n2", 8, DRAINS[:1], 5, 10) == DRAINS[:1]
+    assert not early.hear(0, "n2", 5, [("e", HostState.GONE)], 5, 10)  # the list held says more
+    assert early.hear(0, "n2", 8, DRAINS[:1], 5, 10) == ["a"]
     assert not early.settle(6) and early.settle(7) == ["b", "c"] and early.settle(None) == ["a"]
     assert not early.told
 
@@ -329,33 +332,59 @@
 def test_a_peer_can_close_half_of_the_hosts_ahead_of_a_list_and_only_for_a_while():
     """Guards against a liar that leaves proxies nobody to pick."""
     early = EarlyDrains()
-    lies = [entry(f"h{host}", "DELETED") for host in range(10)]
+    lies = [(f"h{host}", HostState.GONE) for host in range(10)]
     assert len(early.hear(0, "liar", 99, lies, 5, 10)) == 5 and early.refused == 5
-    assert early.hear(SECOND, "n2", 9, [entry("h0", "DRAINING")], 5, 10) == []
+    assert early.hear(SECOND, "n2", 9, [("h0", HostState.DRAINING)], 5, 10) == []
     assert not early.expire(60 * SECOND) and len(early.expire(61 * SECOND)) == 5
     early.hear(0, "liar", 99, lies, 5, 10)
-    early.hear(0, "n2", 9, [entry("x", "DRAINING")], 5, 100)
+    early.hear(0, "n2", 9, [("x", HostState.DRAINING)], 5, 100)
     assert len(early.left("liar")) == 5 and list(early.told) == ["x"]
 
 
+def test_what_was_told_ahead_lies_over_lists_and_gives_way_to_the_lists_own_word():
+    told, book = [], Book(Log("n0", lambda line: None))
+    directory = Directory(Clock(), ("a",), ("m",), ("p",))
+    ahead = DrainsAhead(directory, book, told.append)
+
+    def listed(revision: int, whole: bool, **states: str) -> dict[str, str]:
+        items = [{**target(0, "127.0.0.1:1"), "uid": uid, "state": state} for uid, state in states.items()]
+        said = list_from({"rev": revision, "all": whole, "targets": items})
+        return states_of(ahead.over(revision, whole, directory.note(said)[0]))
+
+    def states_of(note: notes.HostList) -> dict[str, str]:
+        return {directory.uid(entry.host): entry.state.value for entry in note.entries}
+    everybody = dict.fromkeys("abcdef", "SERVING")
+    listed(5, True, **everybody)
+    ahead.hear("n1", 7, DRAINS)
+    assert states_of(told[-1]) == dict.fromkeys("abc", "draining")
+    assert listed(6, True, **everybody)["a"] == "draining"  # an older list opens nobody
+    assert listed(6, False, a="SERVING") == {"a": "draining"}
+    assert listed(7, False, a="DRAINING") == {"a": "draining", "b": "ready", "c": "ready"}  # those were lies
+    ahead.hear("n1", 9, [("d", HostState.GONE)])
+    ahead.reopen(ahead.core.left("n1"))
+    assert states_of(told[-1]) == {"d": "ready"} and not ahead.listed
+    ahead.hear("n1", 9, DRAINS[1:])
+    assert listed(2, True, **everybody) == dict.fromkeys("abcdef", "ready")  # the service began anew
+
+
 @settings(max_examples=80)
 @given(st.lists(st.tuples(st.integers(1, 20), st.sampled_from("abcdef"),
-                          st.sampled_from(["SERVING", "DRAINING", "DELETED"]), st.booleans()), max_size=30))
+                          st.sampled_from(HostState), st.booleans()), max_size=30))
 def test_no_host_is_open_that_the_newest_word_heard_has_closed(words):
     """A plain model beside it: of each host the newest word, from early drains and from lists alike."""
-    early, newest, held, listed = EarlyDrains(), {}, 0, dict.fromkeys("abcdef", "SERVING")
+    early, newest, held = EarlyDrains(), {}, 0
     for revision, uid, state, is_list in words:
         if is_list and revision >= held:
-            held, listed = revision, {**listed, uid: state}
+            held = revision
             early.settle(revision)
             newest = {host: at for host, at in newest.items() if at > revision}
         elif not is_list:
-            if early.hear(0, "n", revision, [entry(uid, state)], held, 100):
+            if early.hear(0, "n", revision, [(uid, state)], held, 100):
                 newest[uid] = revision
     for uid in "abcdef":
         assert (uid in early.told) == (uid in newest)
         if uid in newest:
-            assert early.told[uid].item["state"] != "SERVING" and early.told[uid].revision > held
+            assert early.told[uid].state is not HostState.READY and early.told[uid].revision > held
 
 
 class HoldsList:
