A line ordered for proxies on the same tables is played and written once for all of them

Cause: profiled with five zones, 200 hosts, 320 proxies, three products: of a steward's 6.5 s of work in 20 s, 3.9 s were spent on playing each changed line into each proxy's own draft, 1.2 s on writing the same text 320 times.

Change: `Player` keeps proxies by the tables that they are on; one draft a group and batch, with the very same list of parts in each message, whose text the codec keeps. Proxies bound within the batch fork their draft; hosts held back stay each proxy's own.

--- a/plankroute/messages.py
+++ b/plankroute/messages.py
@@ -46,7 +46,10 @@
     whole: set[int] = field(default_factory=set)
     lines: dict[int, dict[int, float]] = field(default_factory=dict)
     levels: dict[int, Level] = field(default_factory=dict)
-    held: dict[int, bool] = field(default_factory=dict)
+
+    def copy(self) -> "Draft":
+        return Draft(set(self.whole), {product: dict(lines) for product, lines in self.lines.items()},
+                     dict(self.levels))
 
     def replace(self, product: int, lines: dict[int, float], level: Level | None) -> None:
         self.whole.add(product)
@@ -79,6 +82,9 @@
         return parts + [Part(tuple(products), level=level) for level, products in alone.items()]
 
 
+Tables = tuple[int | None, ...]  # by product; None: on a table that is not known
+
+
 @dataclass(slots=True)
 class Stream:
     """A joined proxy. `told`: by host, what it was told on this stream; nothing else is certain.
@@ -88,31 +94,54 @@
     """
 
     fresh: bool
-    tables: dict[int, int] = field(default_factory=dict)  # by product
+    tables: Tables
     told: dict[int, bool] = field(default_factory=dict)
 
 
 class Player:
-    """Tables, levels and hosts held back as ordered, and what each joined proxy has of them."""
+    """Tables, levels and hosts held back as ordered, and what each joined proxy has of them.
+
+    Proxies on the same tables share one draft, so that a line ordered for hundreds is played, and written,
+    once; those that are bound in a batch have drafts of their own in it.
+    """
 
     def __init__(self, products: int) -> None:
         self.products = range(products)
         self.streams: dict[int, Stream] = {}
+        self.groups: dict[Tables, dict[int, None]] = {}  # proxies by the tables that they are on
         self.tables: dict[int, dict[int, float]] = {}
         self.levels: dict[tuple[int | None, int], Level] = {}
         self.held_back, self.once_held = set[int](), set[int]()
-        self.drafts: dict[int, Draft] = {}
+        # Of the batch: drafts by tables and by proxy, hosts held back by proxy, and who is written to, in order
+        self.shared: dict[Tables, Draft] = {}
+        self.own: dict[int, Draft] = {}
+        self.held: dict[int, dict[int, bool]] = {}
+        self.concerned: dict[int, None] = {}
 
     def hear(self, note: notes.Note) -> None:
         match note:
             case notes.ProxyJoined():
-                self.streams[note.proxy] = Stream(note.fresh)
+                self.leave(note.proxy)
+                self.streams[note.proxy] = Stream(note.fresh, (None,) * len(self.products))
+                self.group(note.proxy)
             case notes.ProxyLeft():
-                self.streams.pop(note.proxy, None)
+                self.leave(note.proxy)
             case notes.HostList():
                 self.once_held.update(entry.host for entry in note.entries
                                       if entry.state is not HostState.READY or entry.started_us)
 
+    def group(self, proxy: int) -> None:
+        self.groups.setdefault(self.streams[proxy].tables, {})[proxy] = None
+
+    def leave(self, proxy: int) -> None:
+        if stream := self.streams.pop(proxy, None):
+            self.ungroup(proxy, stream.tables)
+
+    def ungroup(self, proxy: int, tables: Tables) -> None:
+        del self.groups[tables][proxy]
+        if not self.groups[tables]:
+            del self.groups[tables]
+
     def forget(self, host: int) -> None:
         """Nobody is told of it any more; who was told to hold it back is no longer certain of anything."""
         self.held_back.discard(host)
@@ -121,7 +150,7 @@
             stream.fresh = not stream.told.pop(host, False) and stream.fresh
 
     def play(self, batch: Iterable[orders.Order]) -> list[Message]:
-        self.drafts, mark = {}, None
+        self.shared, self.own, self.held, self.concerned, mark = {}, {}, {}, {}, None
         for order in batch:
             match order:
                 case orders.SetLine():
@@ -137,44 +166,72 @@
                 case orders.Mark():
                     mark = order
         if mark and mark.everyone:
-            for proxy in self.streams:
-                self.draft(proxy)
-        return [self.message(proxy, draft, mark) for proxy, draft in self.drafts.items()]
-
-    def message(self, proxy: int, draft: Draft, mark: orders.Mark | None) -> Message:
-        for product in self.products:
-            table = self.streams[proxy].tables.get(product)
+            self.concerned |= dict.fromkeys(self.streams)
+        return self.messages(mark.serial if mark else None)
+
+    def messages(self, mark: int | None) -> list[Message]:
+        """Proxies with the same parts hold the very same list of them: it is written once."""
+        parts: dict[Tables, list[Part]] = {}
+        out = []
+        for proxy in self.concerned:
+            tables = self.streams[proxy].tables
+            if proxy in self.own:
+                said = self.with_common(tables, self.own[proxy]).parts()
+            elif (said := parts.get(tables)) is None:
+                said = parts[tables] = self.with_common(tables, self.shared.get(tables, Draft())).parts()
+            out.append(Message(proxy, said, self.held.get(proxy, {}), mark))
+        return out
+
+    def with_common(self, tables: Tables, draft: Draft) -> Draft:
+        """Levels for all tables go with every message."""
+        for product, table in zip(self.products, tables):
             if (ALL_TABLES, product) in self.levels and (level := self.level(table, product)):
-                draft.levels[product] = level  # these go with every message
-        return Message(proxy, draft.parts(), draft.held, mark.serial if mark else None)
-
-    def draft(self, proxy: int) -> Draft:
-        return self.drafts.setdefault(proxy, Draft())
-
-    def users(self, table: int) -> Iterable[tuple[int, list[int]]]:
-        """Proxies on the table, each with the products for which it is."""
-        for proxy, stream in self.streams.items():
-            if products := [product for product, number in stream.tables.items() if number == table]:
-                yield proxy, products
+                draft.levels[product] = level
+        return draft
+
+    def drafts(self, table: int) -> Iterable[tuple[Draft, list[int]]]:
+        """Of all proxies on the table, each with the products for which they are."""
+        for tables, proxies in self.groups.items():
+            if table in tables:
+                if tables not in self.shared:
+                    self.shared[tables] = Draft()
+                    self.concerned |= proxies
+                yield self.shared[tables], self.products_on(table, tables)
+        for proxy, draft in self.own.items():
+            if table in (tables := self.streams[proxy].tables):
+                yield draft, self.products_on(table, tables)
+
+    def products_on(self, table: int, tables: Tables) -> list[int]:
+        return [product for product, number in enumerate(tables) if number == table]
 
     def set_line(self, order: orders.SetLine) -> None:
         lines = self.tables.setdefault(order.table, {})
         lines[order.host] = order.weight
         if not order.weight:
             del lines[order.host]
-        for proxy, products in self.users(order.table):
+        for draft, products in self.drafts(order.table):
             for product in products:
-                self.draft(proxy).set_line(product, order.host, order.weight)
-            if order.weight:
-                self.agree(proxy, order.host)
+                draft.set_line(product, order.host, order.weight)
+        for tables, proxies in self.groups.items() if order.weight else ():
+            if order.table in tables:
+                for proxy in proxies:
+                    self.agree(proxy, order.host)
 
     def bind(self, order: orders.Bind) -> None:
+        """From here on in this batch its message is its own; what its group was ordered before is in it."""
         stream, lines = self.streams.get(order.proxy), self.tables.get(order.table, {})
         if stream is None:
             return
+        before, tables = stream.tables, list(stream.tables)
+        if (draft := self.own.get(order.proxy)) is None:
+            draft = self.own[order.proxy] = self.shared.get(before, Draft()).copy()
+        self.concerned[order.proxy] = None
         for product in self.products if order.products is None else order.products:
-            stream.tables[product] = order.table
-            self.draft(order.proxy).replace(product, lines, self.level(order.table, product))
+            tables[product] = order.table
+            draft.replace(product, lines, self.level(order.table, product))
+        self.ungroup(order.proxy, before)
+        stream.tables = tuple(tables)
+        self.group(order.proxy)
         for host in lines:
             self.agree(order.proxy, host)
 
@@ -186,29 +243,31 @@
             self.tell(proxy, host, want)
 
     def tell(self, proxy: int, host: int, out: bool) -> None:
-        self.streams[proxy].told[host] = self.draft(proxy).held[host] = out
+        self.streams[proxy].told[host] = out
+        self.held.setdefault(proxy, {})[host] = out
+        self.concerned[proxy] = None
 
     def withdraw(self, order: orders.Withdraw) -> None:
         self.once_held.add(order.host)
         (self.held_back.add if order.out else self.held_back.discard)(order.host)
-        for proxy, stream in self.streams.items():
-            unbound = any(product not in stream.tables for product in self.products)  # on tables not known
-            may_send = unbound or any(order.host in self.tables.get(t, {}) for t in stream.tables.values())
-            if may_send and stream.told.get(order.host) is not order.out:
-                self.tell(proxy, order.host, order.out)
+        for tables, proxies in self.groups.items():
+            # Those on tables not known may send there too.
+            if None in tables or any(order.host in self.tables.get(table, {}) for table in tables):
+                for proxy in proxies:
+                    if self.streams[proxy].told.get(order.host) is not order.out:
+                        self.tell(proxy, order.host, order.out)
 
     def set_level(self, order: orders.SetLevel) -> None:
         products = self.products if order.products is None else order.products
         for product in products:
             self.levels[order.table, product] = order.level, order.retry
         if order.table is ALL_TABLES:
-            for proxy in self.streams:
-                self.draft(proxy)
+            self.concerned |= dict.fromkeys(self.streams)
             return
-        for proxy, held in self.users(order.table):
+        for draft, held in self.drafts(order.table):
             for product in set(held).intersection(products):
                 if level := self.level(order.table, product):
-                    self.draft(proxy).levels[product] = level
+                    draft.levels[product] = level
 
     def level(self, table: int | None, product: int) -> Level | None:
         """Where a level is set for the table and for all, the lower holds, and the table's own retry."""
@@ -218,6 +277,6 @@
     def clear(self, table: int) -> None:
         self.tables[table] = {}
         self.levels = {key: level for key, level in self.levels.items() if key[0] != table}
-        for proxy, products in self.users(table):
+        for draft, products in self.drafts(table):
             for product in products:
-                self.draft(proxy).replace(product, {}, self.level(table, product))
+                draft.replace(product, {}, self.level(table, product))
--- a/plankroute/net/wire.py
+++ b/plankroute/net/wire.py
@@ -162,20 +162,30 @@
 
     def __init__(self, products: tuple[str, ...], uid: Callable[[int], str]) -> None:
         self.products, self.uid = products, uid
+        self.parts: list[Part] | None = None  # those written last, which hundreds of proxies may share
+        self.before, self.last = "", ""  # their text: all but the last one with its end, and that one
 
     def write(self, message: Message) -> bytes:
-        """More parts than one message may have go on in a second message."""
-        parts = [self.part(chunk) for part in message.parts for chunk in chunks(part)] or [[]]
+        """Hosts held back, and the mark, are the proxy's own; they go with the last part."""
+        if message.parts is not self.parts:
+            self.parts = message.parts
+            self.before, self.last = self.text(message.parts)
+        words = [self.last]
         for name, out in (("drop", True), ("undrop", False)):
             if hosts := [self.uid(host) for host, held in message.held.items() if held is out]:
-                parts[-1].append(f"{name}={','.join(hosts)}")
+                words.append(f"{name}={','.join(hosts)}")
         if message.mark is not None:
-            parts[-1].append(f"stamp={message.mark}")
-        last = len(parts) - 1
-        for place, words in enumerate(parts):
-            if place != last and (place + 1) % MOST_PARTS:
+            words.append(f"stamp={message.mark}")
+        return f"{self.before}{' '.join(words)}\r\n".encode("ascii")
+
+    def text(self, parts: list[Part]) -> tuple[str, str]:
+        """More parts than one message may have go on in a second message."""
+        written = [self.part(chunk) for part in parts for chunk in chunks(part)] or [[]]
+        for place, words in enumerate(written[:-1], 1):
+            if place % MOST_PARTS:
                 words.append("part=1")
-        return "".join(" ".join(["push", *words]) + "\r\n" for words in parts).encode("ascii")
+        lines = [" ".join(["push", *words]) for words in written]
+        return "".join(line + "\r\n" for line in lines[:-1]), lines[-1]
 
     def part(self, part: Part) -> list[str]:
         words = []
