--- a/plankroute/cli/main.py
+++ b/plankroute/cli/main.py
@@ -91,6 +91,46 @@
     click.echo(as_json_text(lines) if as_json else as_table(lines))
 
 
+@cli_group.group()
+def state() -> None:
+    """What a steward has learned of hosts, in its file or as it runs."""
+
+
+@state.command("show")
+@click.argument("where", metavar="FILE|ADDRESS")
+@click.option("--group", help="The group's name, with ADDRESS (where the steward takes links).")
+@click.option("--json", "as_json", is_flag=True, help="One JSON object, for machines.")
+@click.option("--limit", "limit_s", default=900.0, show_default=True,
+              help="Seconds after which news count for nothing, as `learned.limit_s` has it.")
+def state_show(where: str, group: str | None, as_json: bool, limit_s: float) -> None:
+    """What is kept, how old it is, and what it would count for now."""
+    from plankroute.cli.learned import Unread, as_json_text, as_table, from_address, from_file, is_address
+    if is_address(where) and not Path(where).exists():
+        if group is None:
+            raise Mistake("state show: ADDRESS needs --group")
+        found = from_address(where, group)
+    else:
+        found = from_file(Path(where))
+    if isinstance(found, Unread):
+        click.echo(f"{where}: {found.why}", err=True)
+        sys.exit(FAILED)
+    for one in found:
+        click.echo(as_json_text(one, limit_s) if as_json else as_table(one, limit_s))
+
+
+@state.command("check")
+@click.argument("path", metavar="FILE", type=FILE)
+def state_check(path: Path) -> None:
+    """Would a steward of the name that FILE holds start from it?"""
+    from plankroute.cli.learned import Unread, from_file
+    found = from_file(path)
+    if isinstance(found, Unread):
+        click.echo(f"{path}: {found.why}", err=True)
+        sys.exit(FAILED)
+    view = found[0].view
+    click.echo(f"{path}: good; {view.name}, {len(view.hosts)} hosts, list of revision {view.revision}")
+
+
 @cli_group.group()
 def lab() -> None:
     """Measurements and trials of the laboratory; nothing here touches a running steward."""
@@ -182,6 +222,61 @@
         sys.exit(FAILED)
 
 
+@lab.command("restart")
+@click.option("--ways", default="nothing,snapshot,peer,both,wrong", show_default=True, help="By comma.")
+@click.option("--hosts", default=50, show_default=True, type=click.IntRange(5, 500))
+@click.option("--bad", default=0.2, show_default=True, help="Part of the hosts that void all they get.")
+@click.option("--warm", "warm_s", default=20.0, show_default=True, help="Seconds before the restart.")
+@click.option("--seeds", default=1, show_default=True, type=click.IntRange(1, 20))
+@click.option("--kill/--term", "is_killed", default=False, show_default=True,
+              help="SIGKILL instead of SIGTERM.")
+@click.option("--proxies-too/--proxies-stay", default=False, show_default=True,
+              help="Whether the proxies restart with it and hold nothing.")
+@click.option("--probes-fail/--probes-good", default=True, show_default=True,
+              help="Whether hosts that void all answer probes with an error.")
+@click.option("--json", "out", type=FILE, help="Write what was seen there.")
+@click.option("--report", type=FILE, help="Write a page with curves there (HTML).")
+def lab_restart(ways: str, hosts: int, bad: float, warm_s: float, seeds: int, is_killed: bool,
+                proxies_too: bool, probes_fail: bool, out: Path | None, report: Path | None) -> None:
+    """What the restart of a steward costs, with nothing known and with what was learned before."""
+    import asyncio
+
+    import msgspec
+
+    from plankroute.lab import restart
+    from plankroute.lab.traffic import Mix
+    asked = tuple(ways.split(","))
+    if unknown := [way for way in asked if way not in restart.WAYS]:
+        raise Mistake(f"not known: {', '.join(unknown)}; ways: {', '.join(restart.WAYS)}")
+    rows = []
+    for seed in range(1, seeds + 1):
+        if sys.stderr.isatty():
+            click.echo(f"seed {seed} of {seeds}: {warm_s + restart.LOOK_S:.0f} s ...", err=True)
+        rows.append(asyncio.run(restart.run_ways(
+            asked, hosts=hosts, bad_part=bad, warm_s=warm_s, seed=seed, is_killed=is_killed,
+            proxies_too=proxies_too, mix=Mix(probes_fail=probes_fail))))
+    summed = restart.summed(rows)
+    click.echo(restart.table(summed))
+    if out:
+        out.write_bytes(msgspec.json.format(msgspec.json.encode(rows), indent=2) + b"\n")
+    if report:
+        report.write_text(restart.page(summed))
+
+
+@lab.command("kills")
+@click.option("--kills", default=1000, show_default=True, type=click.IntRange(1, 10_000))
+@click.option("--seed", default=1, show_default=True)
+def lab_kills(kills: int, seed: int) -> None:
+    """kill -9 at drawn points while a steward's file is written again and again, each followed by a start."""
+    import asyncio
+
+    from plankroute.lab.kills import run_kills
+    seen = asyncio.run(run_kills(kills, seed))
+    click.echo(seen.said())
+    if seen.mixtures or seen.failed:
+        sys.exit(FAILED)
+
+
 def cli() -> int:
     cli_group(prog_name="plankroute")
     return GOOD
--- a/plankroute/lab/restart.py
+++ b/plankroute/lab/restart.py
@@ -167,6 +167,18 @@
                                        for place, way in enumerate(ways))))
 
 
+def summed(rows: list[list[Outcome]]) -> list[Outcome]:
+    """Over the seeds, way by way: txns added up, the rest in the mean."""
+    out = []
+    for same in zip(*rows, strict=True):
+        curves = zip(*(one.curve for one in same), strict=False)
+        curve = [round(sum(parts) / len(same), 3) for parts in curves]
+        out.append(Outcome(same[0].way, sum(one.asked for one in same), sum(one.voided for one in same),
+                           round(sum(one.ready_ms for one in same) / len(same)),
+                           round(sum(one.told for one in same) / len(same)), curve))
+    return out
+
+
 HEADS = ("way", "asked", "voided", "part", "of nothing's", "ready after", "hosts told")
 
 
--- a/plankroute/learned/codec.py
+++ b/plankroute/learned/codec.py
@@ -63,8 +63,9 @@
     return head[:-8] + struct.pack("!Q", check_of(head, body)) + body
 
 
-def read_file(data: bytes, name: str, unix_ms: int) -> Kept | Unusable:
-    """The check sum comes before the version: what is spoilt says nothing, not even that it is newer."""
+def read_file(data: bytes, name: str | None, unix_ms: int) -> Kept | Unusable:
+    """`name`: of the steward whose it must be; None: anybody's. The check sum comes before the version:
+    what is spoilt says nothing, not even that it is newer."""
     if len(data) > MOST_BYTES:
         return Unusable.LARGE
     if len(data) < HEADER.size or data[:4] != MAGIC:
@@ -79,7 +80,7 @@
         return Unusable.NEWER if version > VERSION else Unusable.OLDER
     if (view := read_view(body)) is None:
         return Unusable.SPOILT
-    if view.name != name:
+    if name is not None and view.name != name:
         return Unusable.OTHERS
     age_ms = unix_ms - written_ms
     return Kept(view, None if age_ms < -AHEAD_MS else max(0, age_ms) * 1000)
