Whole lines need no ring, and bytes go straight to a peer that waits for nothing

Cause: after lines were played once for all, what is left of a steward's work at full size is line by line and connection by connection: a ring in and out for each line that came whole, a turn of a task for each message.

Change: lines that stand whole in what was read are cut there (the ring holds what is not whole, its bounds as before); a message goes to the kernel at once where nothing waits before it; counts are read without a pattern, counters' names made once.

--- a/plankroute/net/intake.py
+++ b/plankroute/net/intake.py
@@ -24,10 +24,17 @@
     def feed(self, piece: bytes) -> Iterator[bytes | Refused]:
         for at in range(0, len(piece), self.SLICE):
             slice_ = piece[at:at + self.SLICE]
+            if not self.ring.size and not self.skipping and (end := slice_.rfind(b"\n")) >= 0:
+                # What is whole already needs no room; the ring holds what is not.
+                yield from map(self.checked, slice_[:end].split(b"\n"))
+                slice_ = slice_[end + 1:]
             if not self.ring.put(slice_):
                 yield from self.pass_over(slice_)
             yield from self.lines()
 
+    def checked(self, line: bytes) -> bytes | Refused:
+        return line if len(line) <= self.most else Refused(Stage.TAKE_IN, "line too long", True)
+
     def pass_over(self, piece: bytes) -> Iterator[Refused]:
         """No room for it: what is held of the line is dropped, the rest of it skipped."""
         too_long = self.ring.size + len(piece) > self.ring.most
@@ -45,7 +52,7 @@
             if self.skipping:
                 self.skipping = False
             else:
-                yield line if len(line) <= self.most else Refused(Stage.TAKE_IN, "line too long", True)
+                yield self.checked(line)
         self.searched = self.ring.size
         if self.skipping:
             self.ring.release()
--- a/plankroute/net/listener.py
+++ b/plankroute/net/listener.py
@@ -14,7 +14,8 @@
 from plankroute.net.ring import Pool
 from plankroute.net.room import Room
 from plankroute.net.streams import Streams
-from plankroute.net.wire import ALIVE, ERROR, Asked, CollectorSaid, HostSaid, Said, read_line
+from plankroute.net.wire import (ALIVE, ERROR, AppliedSaid, Asked, CollectorSaid, HelloSaid, HostSaid, Said,
+                                 TrafficSaid, read_line)
 
 READ_AT_ONCE = 16384  # bytes: a collector's second of lines
 TAKEN_BYTES = 65536  # the kernel's buffer of a connection: what one read may bring, times hundreds of them
@@ -22,6 +23,8 @@
 AT_ONCE = 16  # are taken before others are read: each is heard before many younger ones could push it out
 STRANGER_S = 1.5  # from connecting: joinings come within a second, in pieces at worst
 MOST_ASKED = 32  # signs of life between two sweeps: who asks on without end is turned away
+TAKEN = {kind: f"taken.{kind.__name__.removesuffix('Said').lower()}"
+         for kind in (Asked, AppliedSaid, CollectorSaid, HelloSaid, HostSaid, TrafficSaid)}
 QUIET_COLLECTOR_S = 60.0  # reports come each second or so; a late one must not cost the connection
 
 
@@ -107,7 +110,7 @@
             self.streams.end(peer, what.why)
 
     def accept(self, peer: Peer, said: Said, note: notes.Note | None) -> None:
-        self.book.count(f"taken.{type(said).__name__.removesuffix('Said').lower()}")
+        self.book.count(TAKEN[type(said)])
         if isinstance(said, HostSaid) and said.report:
             self.book.count_report(said.report)
         if isinstance(said, Asked):
--- a/plankroute/net/relay.py
+++ b/plankroute/net/relay.py
@@ -17,7 +17,15 @@
         writer.transport.set_write_buffer_limits(high=WRITE_AT_ONCE)
 
     def send(self, data: bytes) -> bool:
-        if self.writer.transport.is_closing() or not self.ring.put(data):
+        """Straight to the kernel where nothing waits before it: hundreds of proxies need no turn of a task
+        each."""
+        transport = self.writer.transport
+        if transport.is_closing():
+            return False
+        if not self.ring.size and len(data) <= WRITE_AT_ONCE and not transport.get_write_buffer_size():
+            self.writer.write(data)
+            return True
+        if not self.ring.put(data):
             return False
         self.wake.set()
         return True
--- a/plankroute/net/wire.py
+++ b/plankroute/net/wire.py
@@ -17,7 +17,7 @@
 MOST_COUNT = 2**32 - 1  # no count of a report's span comes near
 MOST_MS = 86_400_000.0  # a day: longer spans are nonsense
 MOST_LOAD = 1e6  # of any figure of a load report: no host holds a million txns
-DIGITS = re.compile(r"[0-9]{1,10}")
+MOST_DIGITS = 10
 NUMBER = re.compile(r"[0-9]*\.?[0-9]+(?:[eE][+-]?[0-9]{1,3})?")
 PLAIN = re.compile(r"[a-z]+(?: [a-z]+=[^ =]*)*")  # a kind of another version, most likely
 TORN = re.compile(r"(?:agent|outcomes|hello|ack|demand) [a-z]+=")  # within a line: two messages ran together
@@ -100,7 +100,8 @@
         return value
 
     def count(self, name: str) -> int:
-        if not DIGITS.fullmatch(text := self.text(name)) or int(text) > MOST_COUNT:
+        text = self.text(name)  # it is ASCII
+        if not text.isdigit() or len(text) > MOST_DIGITS or int(text) > MOST_COUNT:
             raise Unreadable(f"{name} is no count")
         return int(text)
 
