Where all binds take too long each steward's table holds a part of the hosts, beside the others'

Change: `Publisher.part`: where binding its proxies to whole tables takes over 12 s of the channel, a steward's table holds as large a part of the hosts as its proxies are of all: an arc of a ring by the hosts' names, beside the others' arcs, by rank and number as the settings state them; more proxies, a wider arc. It is one shared table as before. Hosts aside are nobody's news: no silence, no error, no crowd counts for them. `HostEntry.mark` is the same at every steward (ids on sockets are not).

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -10,9 +10,11 @@
 6. First weights: before anybody is bound, by what old tables bring each host or by the speed of probes.
 """
 
+import math
 from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import Any
+from zlib import crc32
 
 from plankroute.actors import Actor, Beat, Desk
 from plankroute.channel import Channel
@@ -46,12 +48,14 @@
         # Learned before this start: weights, hosts in trouble, those shut by it alone; and its proofs
         self.told, self.told_bad, self.on_news = dict[int, float](), set[int](), set[int]()
         self.judged, self.right, self.wrong = set[int](), 0, 0
+        self.aside = set[int]()  # hosts that are left to other stewards' tables (`Publisher.part`)
 
     def look(self) -> None:
         ready, heard = self.ready(), [i for i in self.playing() if self.tries[i] > 0]
         tries = sum(self.tries[i] for i in ready) or 1.0
         self.voided_part = sum(self.voided[i] for i in ready) / tries
-        self.crowding = tries * LN_2 * SECOND_US / MEMORY_US / max(1, self.proxies * len(ready))
+        open_to = sum(i not in self.aside for i in ready)
+        self.crowding = tries * LN_2 * SECOND_US / MEMORY_US / max(1, self.proxies * open_to)
         self.time_part = sum(self.time_us[i] for i in ready) / tries
         self.tries_a_weight = sum(self.tries[i] for i in heard) / (sum(self.weight[i] for i in heard) or 1.0)
         # By the best third, since two zones of three may be out of reach.
@@ -64,8 +68,7 @@
         self.kin = {self.kind[kin[0]]: sum(self.weight[i] for i in kin) / len(kin)
                     for kin in grouped(warm, lambda i: self.kind[i])}
 
-    def judge(self, place: int, bad: bool) -> None:
-        """Guards against news that are all wrong: the whole of them stands or falls with what is seen."""
+    def judge(self, place: int, bad: bool) -> None:  # guards against wrong news: all stand or fall together
         as_told = bad == (place in self.told_bad)
         if place in self.told and place not in self.judged and (bad or not as_told):
             self.judged.add(place)
@@ -233,6 +236,8 @@
 
     def silent(self) -> bool:  # while others spoke, and a host of its weight is tried often
         fleet, i = self.fleet, self.place
+        if i in fleet.aside:
+            return False
         per_us = fleet.tries_a_weight * fleet.counted(i) * LN_2 / MEMORY_US
         return (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
@@ -276,7 +281,7 @@
         return self.TURN_US - late * (self.fleet.burst_us > 0)
 
     def handle(self, note: Any) -> None:
-        fleet, playing = self.fleet, self.fleet.playing()
+        fleet, playing = self.fleet, [i for i in self.fleet.playing() if i not in self.fleet.aside]
         if fleet.learning_us and playing:
             self.take_over(playing)
         fills = {} if fleet.learning_us or note is Beat.CHANGED else self.fills(playing)
@@ -312,7 +317,7 @@
         mean = sum(shown[i] for i in playing) / len(playing) or 1.0
         if waited > wait_us or (mean >= self.ENOUGH if fleet.old else all(shown[i] for i in playing)):
             fleet.learning_us, self.turns = None, self.SETTLED * fleet.old
-            for i in list(fleet.told) if fleet.old else ():  # old tables show whom those who wrote them shunned
+            for i in list(fleet.told) if fleet.old else ():  # old tables show who was shunned
                 fleet.judge(i, shown[i] < self.SHUNNED * mean)
             playing = fleet.playing()
             for kin in grouped(playing, lambda i: fleet.kind[i]):
@@ -369,10 +374,20 @@
 
 class Table(Pushed):
     SLOTS_A_HOST = 32  # steps of 3% of a usual weight: finer ones cost lines and move nothing
+    LEAST_HOSTS = 24  # warm ones in a table of a part: fewer would hang on single hosts
 
-    def slots(self, fleet: Fleet, out: set[int]) -> dict[int, int]:
+    def in_part(self, fleet: Fleet, able: list[int], part: float, start: float) -> list[int]:
+        """An arc of a ring: stewards' arcs lie beside each other, so each host is in as many tables as any
+        other, and one that comes or goes moves the arc's end alone."""
+        ring = sorted(able, key=lambda i: (crc32(b"%d" % fleet.mark[i]) / 2**32 - start) % 1.0)
+        warm = [i for i in ring if fleet.cap[i] == NO_CAP and not fleet.shut[i]]
+        most = math.ceil(part * len(warm))
+        return ring[:ring.index(warm[most - 1]) + 1] if self.LEAST_HOSTS <= most < len(warm) else able
+
+    def slots(self, fleet: Fleet, out: set[int], part: float = 1.0, start: float = 0.0) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
         able = [i for i in fleet.ready() if fleet.cap[i] and i not in out and self.admits(fleet, i)]
+        able = self.in_part(fleet, able, part, start) if part < 1 else able
         hosts, suspects = [i for i in able if not fleet.shut[i]], [i for i in able if fleet.shut[i]]
         if 2 * sum(fleet.cap[i] == NO_CAP for i in hosts) <= len(suspects):
             # Guards against a bare proxy, and against all txns on a few hosts, or on ones still cold.
@@ -412,6 +427,8 @@
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
+    PART_FROM_US = 12 * SECOND_US  # for all binds: until then proxies go by tables that nobody steers
+    MORE, STEPS = 1.5, 8  # times its even share of proxies, and steps: a table is not to follow each stream
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
@@ -434,6 +451,8 @@
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = -facts.messages_window_us
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
+        self.proxies, self.stewards = facts.proxies, facts.stewards
+        self.start = facts.steward % facts.stewards / facts.stewards  # of its arc of the hosts
         self.seen, self.found = list[Any](), list[dict[int, int]]()  # what slots follow from, and the slots
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
@@ -511,14 +530,24 @@
         if self.channel.batch:
             self.written_us = self.desk.now
 
+    def part(self) -> float:
+        """Of the hosts that a table holds: all, unless to bind this steward's proxies takes too long; then as
+        much as these are of all: who has more of them, since another steward is gone, serves more hosts."""
+        share, even = len(self.zone_of) / max(1, self.proxies), 1 / self.stewards
+        lines = max(share, even) * self.proxies * (len(self.fleet.ready()) + self.channel.head)
+        if lines < self.PART_FROM_US * self.lines_a_us:
+            return 1.0
+        return even if share < self.MORE * even else min(1.0, math.ceil(self.STEPS * share) / self.STEPS)
+
     def all_slots(self) -> list[dict[int, int]]:
         """As found last, while nothing that they follow from has moved: ten looks a second, one turn."""
-        fleet, out = self.fleet, self.withdrawn | self.due
-        seen: list[Any] = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, out]
+        fleet, out, part = self.fleet, self.withdrawn | self.due, [self.part()]
+        seen: list[Any] = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, out, part]
         seen += [fleet.state, fleet.zone, fleet.kind, *(table.pushed for table in self.tables)]
         if seen != self.seen:
             self.seen = [figures.copy() for figures in seen]
-            self.found = [table.slots(fleet, out) for table in self.tables]
+            self.found = [table.slots(fleet, out, part[0], self.start) for table in self.tables]
+            fleet.aside = set(fleet.ready()).difference(*self.found) if part[0] < 1 else set()
         return self.found
 
     def changes(self) -> Iterator[Change]:  # worth more where a slot is to fall: txns there are late already
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -17,6 +17,7 @@
         self.index: dict[int, int] = {}
         self.free: list[int] = []  # places of hosts that were removed: not ready, and in no index
         self.ids: list[int] = []
+        self.mark: list[int] = []  # from its name: the same at every steward
         # What the list says
         self.state: list[HostState] = []
         self.zone: list[int] = []
@@ -52,7 +53,8 @@
         place = self.index[entry.host] = self.free.pop() if self.free else len(self.ids)
         weight = entry.weight or 1.0
         for array, value in (
-                (self.ids, entry.host), (self.state, HostState.GONE), (self.zone, entry.zone),
+                (self.ids, entry.host), (self.mark, entry.mark or entry.host),
+                (self.state, HostState.GONE), (self.zone, entry.zone),
                 (self.kind, entry.kind), (self.listed, weight), (self.weight, weight), (self.cap, NO_CAP),
                 (self.shut, False), (self.cut, False), (self.speed, 0.0), (self.error, None),
                 (self.integral, 0.0),
--- a/plankroute/interface/notes.py
+++ b/plankroute/interface/notes.py
@@ -41,7 +41,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """One host as the list has it; started_us is 0 where the start lies long ago."""
+    """One host as the list has it; started_us is 0 where the start lies long ago. `mark`: from its name, the
+    same at every steward; 0: its id is."""
 
     host: int
     state: HostState
@@ -50,6 +51,7 @@
     cell: int
     weight: float
     started_us: int
+    mark: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/plankroute/net/directory.py
+++ b/plankroute/net/directory.py
@@ -1,6 +1,7 @@
 """Names of the outside and the small ids of the inside: hosts, zones, kinds, products."""
 
 from dataclasses import dataclass
+from zlib import crc32
 
 from plankroute.interface import notes
 from plankroute.interface.notes import HostState, ListKind
@@ -73,5 +74,6 @@
             known.boot_ms = said.boot_ms
             known.started_us = max(1, self.clock.on_scale(round(said.boot_ms * 1000))) if said.boot_ms else 0
         known.entry = notes.HostEntry(self.ids[said.uid], said.state, self.zones[said.zone],
-                                      self.kinds[said.kind], said.cell, said.weight, known.started_us)
+                                      self.kinds[said.kind], said.cell, said.weight, known.started_us,
+                                      crc32(said.uid.encode("ascii")))
         return known.entry
