Arcs of hosts are cut by place in the ring, so that no host is left out; tests and docs of parts

Cause: a test that counts in how many tables each host is found some in none: arcs began at fixed points of the hash, but ended after so many hosts, and a hash is uneven. Change: arcs begin at the steward's place among the hosts as listed, in the ring's order.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -378,11 +378,16 @@
 
     def in_part(self, fleet: Fleet, able: list[int], part: float, start: float) -> list[int]:
         """An arc of a ring: stewards' arcs lie beside each other, so each host is in as many tables as any
-        other, and one that comes or goes moves the arc's end alone."""
-        ring = sorted(able, key=lambda i: (crc32(b"%d" % fleet.mark[i]) / 2**32 - start) % 1.0)
-        warm = [i for i in ring if fleet.cap[i] == NO_CAP and not fleet.shut[i]]
+        other, and one that comes or goes moves the arc's two ends alone."""
+        listed = (i for i in fleet.ready() if self.admits(fleet, i))  # the same at every steward
+        ring = sorted(listed, key=lambda i: crc32(b"%d" % fleet.mark[i]))
+        ring = ring[(at := int(start * len(ring))):] + ring[:at]
+        open_to = set(able)
+        warm = [i for i in ring if i in open_to and fleet.cap[i] == NO_CAP and not fleet.shut[i]]
         most = math.ceil(part * len(warm))
-        return ring[:ring.index(warm[most - 1]) + 1] if self.LEAST_HOSTS <= most < len(warm) else able
+        if not self.LEAST_HOSTS <= most < len(warm):
+            return able
+        return sorted(open_to.intersection(ring[:ring.index(warm[most - 1]) + 1]))
 
     def slots(self, fleet: Fleet, out: set[int], part: float = 1.0, start: float = 0.0) -> dict[int, int]:
         """Floor of each share, the missing ones to the largest remainders; each open host keeps one."""
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -512,6 +512,52 @@
     assert max(total.values()) < 1.6 * mean and min(total.values()) > 0.4 * mean
 
 
+def parts_of(stewards: int, hosts: int, joined: int) -> list[Bench]:
+    """Stewards of a fleet in which to bind all proxies to whole tables takes half a minute."""
+    benches = []
+    for rank in range(stewards):
+        told = start_facts(steward=rank, stewards=stewards, proxies=stewards * 60, lines_per_s=500.0,
+                           queue_cap=40_000, grace_us=12 * SECOND, bare_us=60 * SECOND, may_probe=False)
+        bench = Bench(told, steward=Steward(told, rank))
+        bench.give(full(*[entry(100 + i, zone=i % 3, kind=i % 2) for i in range(hosts)]))
+        bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(joined)])
+        bench.pass_time(SECOND)
+        benches.append(bench)
+    return benches
+
+
+def test_where_all_binds_take_too_long_each_host_is_in_as_many_tables_as_any_other():
+    """Guards against proxies that go by tables which nobody steers until the day is over."""
+    benches = parts_of(4, 200, 60)
+    held = [set(bench.lines[0]) for bench in benches]
+    assert set().union(*held) == set(range(100, 300)) and sum(map(len, held)) <= 204
+    assert all({host % 3 for host in hosts} == {0, 1, 2} for hosts in held)
+    bench = benches[0]
+    before, hosts = set(bench.lines[0]), sorted(bench.lines[0])
+    bench.give(changes(entry(hosts[0], GONE, zone=(hosts[0] - 100) % 3)))
+    bench.pass_time(2 * SECOND)
+    after = set(bench.lines[0])
+    assert hosts[0] in before - after and len(before ^ after) <= 4  # the arc's ends alone have moved
+
+
+def test_a_steward_with_more_proxies_than_its_share_serves_more_hosts_and_a_small_fleet_whole_tables():
+    alone, = parts_of(4, 200, 240)[:1]
+    assert len(alone.lines[0]) == 200
+    small = parts_of(4, 20, 60)
+    assert all(len(bench.lines[0]) == 20 for bench in small)
+
+
+def test_hosts_that_are_left_to_others_are_not_suspected_for_their_silence():
+    bench, *_ = parts_of(4, 200, 60)
+    bench.log.clear()
+    mine = set(bench.lines[0])
+    feed(bench, 8, skip=tuple(set(bench.hosts) - mine))
+    fleet = bench.steward.fleet
+    assert fleet.aside and not any(bench.steward.hosts[i].silent() for i in fleet.aside)
+    mean = sum(fleet.weight[i] for i in fleet.aside) / len(fleet.aside)
+    assert not any(fleet.shut) and mean == pytest.approx(1.0, abs=0.01)
+
+
 def test_a_table_longer_than_binds_may_queue_is_bound_all_the_same():
     """Guards against proxies that are never bound: 500 hosts, 2,000 lines a second on a short way."""
     bench = Bench(start_facts(way_us=0, way_most_us=0, grace_us=3 * SECOND, proxies=9))
