--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -208,8 +208,8 @@
         fleet.told[i] = weight ** known
         if fleet.learning_us is None:
             fleet.weight[i], fleet.standing[i] = fleet.told[i], 0.0  # no slot holds the weight back
-        shut, ready = sum(fleet.shut[j] for j in fleet.ready()) + 1, len(fleet.ready())
-        if told.shut and bad and not fleet.shut[i] and shut <= self.MOST_NEWS * ready:
+        ready = fleet.ready() if told.shut and bad and not fleet.shut[i] else []
+        if ready and sum(fleet.shut[j] for j in ready) + 1 <= self.MOST_NEWS * len(ready):
             fleet.shut[i], self.shut_us = True, self.desk.now
             fleet.on_news.add(i)
             self.needed = min(self.MOST_PROBES, max(self.GOOD_PROBES, told.needed))
--- a/plankroute/learned/core.py
+++ b/plankroute/learned/core.py
@@ -119,13 +119,15 @@
     def view(self, now_us: int, own: View) -> View:
         """What this steward found out itself, joined with what it was told, each with its own age: what was
         heard long ago is as old after any number of restarts."""
-        merged, half_us = dict(self.known), HALF_US
+        told, hosts = dict(self.known), list[HostFacts]()
         for facts in own.hosts:
-            new = first(Heard(facts, now_us - facts.age_us))
-            merged[facts.uid] = join(merged[facts.uid], new, half_us) if facts.uid in merged else new
-        hosts = tuple(self.facts_of(now_us, known) for known in merged.values()
-                      if not self.is_old(now_us, known.health))
-        return msgspec.structs.replace(own, hosts=hosts[:MOST_HOSTS])
+            if (known := told.pop(facts.uid, None)) is not None:
+                new = first(Heard(facts, now_us - facts.age_us))
+                facts = self.facts_of(now_us, join(known, new, HALF_US))
+            hosts.append(facts)
+        hosts += [self.facts_of(now_us, known) for known in told.values()]
+        fresh = (facts for facts in hosts if facts.age_us < self.facts.limit_us)
+        return msgspec.structs.replace(own, hosts=tuple(fresh)[:MOST_HOSTS])
 
     def facts_of(self, now_us: int, known: Merged) -> HostFacts:
         """Where health and powers are of different ages, the older one: news must not grow younger."""
