--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -5,9 +5,9 @@
 1. Cold hosts: a host just started, or let back in, is capped and rises as it warms.
 2. Health: a host that voids its txns or is silent is probed, shut out, and let back by degrees.
 3. Drains: hosts that drain or are gone are withdrawn before all else.
-4. Channel: what a message may hold follows from what still waits; the slots that move most go first.
+4. Channel: what a message, and a table, may hold follows from its pace; slots that move most go first.
 5. Levels: where they are heeded, txns are declined early while answers come too late.
-6. First weights: before anybody is bound, by what old tables bring each host or by the speed of probes.
+6. First weights: by what old tables bring each host, the speed of probes, and what was learned before.
 """
 
 import math
--- a/plankroute/messages.py
+++ b/plankroute/messages.py
@@ -112,7 +112,7 @@
         self.tables: dict[int, dict[int, float]] = {}
         self.levels: dict[tuple[int | None, int], Level] = {}
         self.held_back, self.once_held = set[int](), set[int]()
-        # Of the batch: drafts by tables and by proxy, hosts held back by proxy, and who is written to, in order
+        # Of the batch: drafts by tables and by proxy, hosts held back by proxy, who is written to, in order
         self.shared: dict[Tables, Draft] = {}
         self.own: dict[int, Draft] = {}
         self.held: dict[int, dict[int, bool]] = {}
