One reading of steady microseconds, and one line for errors of ours, for all parts of net

Need: the steady clock was read as whole microseconds in three ways in net/, and three places logged an error of ours with its place alike. Change: clock.steady_us and Book.failed, called by all; events, counters and levels as before. Measured: tests of net, service, membership, cold start and learned things pass, three cases with real processes and restarts of three stewards as well.

--- a/plankroute/net/ahead.py
+++ b/plankroute/net/ahead.py
@@ -9,7 +9,7 @@
 from plankroute.interface import notes
 from plankroute.interface.notes import HostState, ListKind
 from plankroute.net.book import Book
-from plankroute.net.careful import now_us
+from plankroute.net.clock import steady_us as now_us
 from plankroute.net.directory import Directory
 
 MOST_LOGGED = 30  # hosts of one line
--- a/plankroute/net/book.py
+++ b/plankroute/net/book.py
@@ -3,6 +3,7 @@
 import os
 import threading
 import time
+import traceback
 from collections import Counter, deque
 from collections.abc import Callable
 from typing import Any
@@ -73,6 +74,13 @@
     def count(self, name: str, by: int = 1) -> None:
         self.counts[name] += by
 
+    def failed(self, part: str, error: Exception) -> None:
+        """An error of ours, with its place; the part goes on."""
+        place = traceback.extract_tb(error.__traceback__)[-1]
+        self.count(f"{part}.failed")
+        self.log.event("error", f"{part}_failed", why=f"{type(error).__name__}: {error}",
+                       place=f"{place.name}:{place.lineno}")
+
     def refuse(self, stage: str, why: str, **facts: Any) -> None:
         """A line or entry that goes no further."""
         self.counts[f"dropped.{stage}"] += 1
--- a/plankroute/net/careful.py
+++ b/plankroute/net/careful.py
@@ -8,16 +8,13 @@
 from typing import Any
 
 from plankroute.coldstart.calls import Began, Broke, CallFacts, Caller, Event, Refused, retry_after_us
+from plankroute.net.clock import steady_us as now_us
 from plankroute.net.discovery import Discovery
 from plankroute.net.http import Call
 
 LOOK_S = 0.5  # between looks at how old the list is
 
 
-def now_us() -> int:
-    return time.monotonic_ns() // 1000
-
-
 class CarefulDiscovery(Discovery):
     """`list_old_us`: without a word for so long, what is listed is said to be old."""
 
--- a/plankroute/net/clock.py
+++ b/plankroute/net/clock.py
@@ -7,6 +7,11 @@
 Reading = Callable[[], int]
 
 
+def steady_us() -> int:
+    """The steady clock, in microseconds: for spans, never for moments that others are told."""
+    return time.monotonic_ns() // 1000
+
+
 class Clock:
     """Never steps: a system time that is set anew moves neither timers nor the age of hosts."""
 
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -1,7 +1,6 @@
 """Discovery: the list of hosts, by a watch that is renewed whenever it ends or falls silent."""
 
 import asyncio
-import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import aclosing
 from typing import Any
@@ -11,6 +10,7 @@
 from plankroute.interface.notes import ListKind
 from plankroute.net.book import Book
 from plankroute.net.catalogue import MEMBERS, ListSaid, list_from, read_list, watch_target
+from plankroute.net.clock import steady_us
 from plankroute.net.directory import Directory
 from plankroute.net.errors import CallFailed, Reached, Refused
 from plankroute.net.http import FAILURES, Answer, Call, Limits, fetch
@@ -148,11 +148,11 @@
 
     def hear(self) -> None:
         """A whole line came, an empty one too: nothing may have changed for hours."""
-        self.has_word, self.heard_us = True, time.monotonic_ns() // 1000
+        self.has_word, self.heard_us = True, steady_us()
 
     def age_us(self) -> int:
         """How old discovery's word is here."""
-        return time.monotonic_ns() // 1000 - self.heard_us if self.has_word else NO_WORD_US
+        return steady_us() - self.heard_us if self.has_word else NO_WORD_US
 
     def take(self, text: bytes) -> bool:
         """A list goes to the core; False where it can't be used, and the old one stays."""
--- a/plankroute/net/learned.py
+++ b/plankroute/net/learned.py
@@ -19,7 +19,7 @@
 from plankroute.learned.facts import HostFacts, View
 from plankroute.net.ahead import DrainsAhead
 from plankroute.net.book import Book
-from plankroute.net.careful import now_us
+from plankroute.net.clock import steady_us as now_us
 from plankroute.net.directory import Directory
 from plankroute.net.discovery import Discovery
 from plankroute.net.keep import ASIDE, Disk, Saver
--- a/plankroute/net/members.py
+++ b/plankroute/net/members.py
@@ -7,7 +7,6 @@
 import secrets
 import socket
 import time
-import traceback
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import lru_cache
@@ -24,6 +23,7 @@
 from plankroute.membership.views import MOST_MEMBERS, mark_of
 from plankroute.net.address import host_and_port
 from plankroute.net.book import Book
+from plankroute.net.clock import steady_us
 from plankroute.ownfile import MembershipPart
 from plankroute.tokens import Tokens
 
@@ -89,7 +89,7 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         self.book.count("members.taken")
-        if not self.worked.take(time.monotonic_ns() // 1000):
+        if not self.worked.take(steady_us()):
             self.book.count("members.dropped.flood")
             return
         said = self.codec.read(data)
@@ -110,15 +110,12 @@
         self.book.count("members.unreached")
 
     def work(self, events: list[Event]) -> None:
-        now_us = time.monotonic_ns() // 1000
+        now_us = steady_us()
         try:
             for action in self.core.deliver(now_us, events):
                 self.carry_out(action)
         except Exception as error:
-            place = traceback.extract_tb(error.__traceback__)[-1]
-            self.book.count("members.failed")
-            self.book.log.event("error", "members_failed", why=f"{type(error).__name__}: {error}",
-                                place=f"{place.name}:{place.lineno}")
+            self.book.failed("members", error)
             self.rest(now_us + 1_000_000)  # it is woken all the same
 
     def carry_out(self, action: Action) -> None:
@@ -167,7 +164,7 @@
         if self.wake:
             self.wake.cancel()
         self.wake_us = until_us
-        delay_s = max(0, until_us - time.monotonic_ns() // 1000) / 1e6
+        delay_s = max(0, until_us - steady_us()) / 1e6
         self.wake = asyncio.get_running_loop().call_later(delay_s, self.on_wake)
 
     def on_wake(self) -> None:
--- a/plankroute/net/route.py
+++ b/plankroute/net/route.py
@@ -1,7 +1,6 @@
 """Route: notes are gathered into a batch, the core decides, its orders go their ways."""
 
 import asyncio
-import traceback
 from collections.abc import Callable
 
 from plankroute.interface import notes, orders
@@ -68,10 +67,7 @@
                     self.player.forget(order.host)
                     self.forget(order.host)
         except Exception as error:
-            place = traceback.extract_tb(error.__traceback__)[-1]
-            self.book.count("core.failed")
-            self.book.log.event("error", "core_failed", why=f"{type(error).__name__}: {error}",
-                                place=f"{place.name}:{place.lineno}")
+            self.book.failed("core", error)
 
     def carry_out(self, now: int, decided: list[orders.Order]) -> None:
         """What is no message; timers first of all, since the core lives by them."""
--- a/plankroute/net/shared.py
+++ b/plankroute/net/shared.py
@@ -3,7 +3,6 @@
 Who and whom is `coldstart.follow`'s to decide; here its actions meet sockets, log lines and counters."""
 
 import asyncio
-import traceback
 from collections.abc import Callable
 from typing import Any, Literal
 
@@ -18,8 +17,9 @@
 from plankroute.coldstart.lists import HeldList, Incoming
 from plankroute.net.address import host_and_port
 from plankroute.net.ahead import DrainsAhead
-from plankroute.net.careful import CarefulDiscovery, now_us
+from plankroute.net.careful import CarefulDiscovery
 from plankroute.net.catalogue import STATES
+from plankroute.net.clock import steady_us as now_us
 from plankroute.net.discovery import Discovery
 from plankroute.net.links import LinkClient, LinkServer
 from plankroute.net.members import Members
@@ -101,10 +101,7 @@
             for action in self.roles.deliver(now_us(), events):
                 self.carry_out(action)
         except Exception as error:
-            place = traceback.extract_tb(error.__traceback__)[-1]
-            self.book.count("follow.failed")
-            self.book.log.event("error", "follow_failed", why=f"{type(error).__name__}: {error}",
-                                place=f"{place.name}:{place.lineno}")
+            self.book.failed("follow", error)
 
     def carry_out(self, action: Action) -> None:
         match action:
--- a/plankroute/net/sharedprobes.py
+++ b/plankroute/net/sharedprobes.py
@@ -11,7 +11,7 @@
 from plankroute.coldstart.probers import SURVEY, WAIT_US, Result, Survey
 from plankroute.interface import notes
 from plankroute.interface.notes import Outcome
-from plankroute.net.careful import now_us
+from plankroute.net.clock import steady_us as now_us
 from plankroute.net.probes import Prober
 
 GATHER_S = 0.02  # results are told together: a survey's come some milliseconds apart
