A stream that fell silent is told as left once, whatever becomes of it

Need: joined and left are to be told once each. Seen by review: Streams.look told a silent stream as left; its end (Streams.end) or the hello of its next one (Streams.join) told it again, and count_broken counted both among streams that break together, where a tenth of them raises the alarm in which one probe shuts a host. Change: Streams.tell_left. Tests: test_endings.py.

--- a/plankroute/net/streams.py
+++ b/plankroute/net/streams.py
@@ -29,7 +29,7 @@
     def join(self, peer: Peer, hello: notes.ProxyJoined) -> None:
         """A new stream may come before the old one is seen to end: that end is then no leaving."""
         if old := self.by_proxy.get(hello.proxy):
-            self.put(notes.ProxyLeft(hello.proxy))
+            self.tell_left(hello.proxy)
             del self.hellos[old]
             old.outlet.reset()
         self.by_proxy[hello.proxy], self.hellos[peer] = peer, hello
@@ -40,24 +40,35 @@
     def end(self, peer: Peer, why: str) -> None:
         if hello := self.hellos.pop(peer, None):
             del self.by_proxy[hello.proxy]
-            self.joined.discard(hello.proxy)
             self.book.log.event("info", "proxy_left", proxy=hello.proxy, why=why)
-            self.put(notes.ProxyLeft(hello.proxy))
+            self.tell_left(hello.proxy)
+
+    def tell_left(self, proxy: int) -> None:
+        """Once a stream: guards against a silent one, told already, that counts again among those that break
+        together."""
+        if proxy in self.joined:
+            self.joined.discard(proxy)
+            self.put(notes.ProxyLeft(proxy))
 
     def look(self) -> None:
         """Finds the silent ones."""
         now = time.monotonic()
         for proxy, peer in self.by_proxy.items():
             if proxy in self.joined and peer.owes_for(now) > self.silent_s:
-                self.joined.discard(proxy)
                 self.book.count("dropped.silent")
                 self.book.log.event("warning", "stream_silent", proxy=proxy, owes=len(peer.party.marks))
-                self.put(notes.ProxyLeft(proxy))
+                self.tell_left(proxy)
+
+    def oldest_silent(self) -> Peer | None:
+        """Of those that count as left, whoever has been silent for longest."""
+        silent = (peer for peer, hello in self.hellos.items()
+                  if hello.proxy not in self.joined and not peer.is_ending())
+        return min(silent, key=lambda peer: peer.heard, default=None)
 
     def hear(self, peer: Peer) -> None:
         """A silent stream speaks again: its proxy is joined anew, on what it holds."""
         hello = self.hellos.get(peer)
-        if hello and hello.proxy not in self.joined:
+        if hello and hello.proxy not in self.joined and not peer.is_ending():
             self.joined.add(hello.proxy)
             self.book.log.event("info", "stream_back", proxy=hello.proxy)
             self.put(replace(hello, fresh=False))
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -50,7 +50,7 @@
         self.tables = tables
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
-        self.broken: list[int] = []  # when streams ended, of late
+        self.broken: dict[int, int] = {}  # by proxy, when its stream ended, of late
 
     def join(self, note: notes.ProxyJoined) -> None:
         self.zone_of[note.proxy] = note.zone
@@ -61,9 +61,9 @@
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
-    def broken_since(self, now: int, span_us: int) -> int:
-        """One more ended: how many within the span."""
-        self.broken = [at for at in self.broken if at > now - span_us] + [now]
+    def broken_since(self, proxy: int, now: int, span_us: int) -> int:
+        """One more ended: of how many proxies within the span. One that joins without end counts once."""
+        self.broken = {other: at for other, at in self.broken.items() if at > now - span_us} | {proxy: now}
         return len(self.broken)
 
     def users(self, table: Pushed) -> list[int]:
