A table's part widens until it holds 24 warm hosts; streams that break count by proxy

Seen: one line a turn of the core's own view. The steward restarted at 14.7 s finds 100 of its 200 hosts cold; a fifth of the 100 warm ones is under 24, so Table.in_part fell back to the whole table (table [47] -> [200]): a bind takes 214 lines, 9 proxies a second at 1,900 lines; at 24.5 s 246 proxies are unbound, owe() gives them 100 withdrawals each, 24,600 lines, 13 s of the channel, and the grace ends at 33.1 s. Excluded: discovery (list revisions 6 to 18 came within 0.6 s of the others), the restart itself (0.3 s), memory, descriptors. Lines to blame: in_part's 'not LEAST_HOSTS <= most'. Change: the arc widens until it holds 24 warm hosts; the whole only where there are no more. Folded: count_broken takes the proxy (tables.Roll keeps streams that break by proxy).

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -14,7 +14,6 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import Any
-from zlib import crc32
 
 from plankroute.actors import Actor, Beat, Desk
 from plankroute.channel import Channel
@@ -378,14 +377,16 @@
 
     def in_part(self, fleet: Fleet, able: list[int], part: float, start: float) -> list[int]:
         """An arc of a ring: stewards' arcs lie beside each other, so each host is in as many tables as any
-        other, and one that comes or goes moves the arc's two ends alone."""
-        listed = (i for i in fleet.ready() if self.admits(fleet, i))  # the same at every steward
-        ring = sorted(listed, key=lambda i: crc32(b"%d" % fleet.mark[i]))
+        other, and one that comes or goes moves the arc's ends alone; each zone's kinds are spread evenly."""
+        listed = sorted((i for i in fleet.ready() if self.admits(fleet, i)), key=lambda i: fleet.mark[i])
+        kins = grouped(listed, lambda i: (fleet.zone[i], fleet.kind[i]))  # the same at every steward
+        ring = [i for *_, i in sorted(((n + 0.5) / len(kin), k, i) for k, kin in enumerate(kins)
+                                      for n, i in enumerate(kin))]
         ring = ring[(at := int(start * len(ring))):] + ring[:at]
         open_to = set(able)
         warm = [i for i in ring if i in open_to and fleet.cap[i] == NO_CAP and not fleet.shut[i]]
-        most = math.ceil(part * len(warm))
-        if not self.LEAST_HOSTS <= most < len(warm):
+        most = max(self.LEAST_HOSTS, math.ceil(part * len(warm)))
+        if most >= len(warm):
             return able
         return sorted(open_to.intersection(ring[:ring.index(warm[most - 1]) + 1]))
 
@@ -483,7 +484,7 @@
                     self.desk.out += self.fleet.probes(self.fleet.playing() if learns and note.fresh else ())
             case notes.ProxyLeft():
                 self.leave(note.proxy)
-                self.count_broken()
+                self.count_broken(note.proxy)
             case notes.Applied():
                 self.channel.answered(note.proxy, note.serial)
             case orders.SetLevel():
@@ -499,9 +500,9 @@
         super().leave(proxy)
         self.channel.left(proxy)
 
-    def count_broken(self) -> None:  # together they may tell of a cut, seconds before sums: all are asked
+    def count_broken(self, proxy: int) -> None:  # together they may tell of a cut, before sums: all are asked
         fleet, now = self.fleet, self.desk.now
-        many = self.broken_since(now, SECOND_US) > max(2, self.BURST * len(self.zone_of))
+        many = self.broken_since(proxy, now, SECOND_US) > max(2, self.BURST * len(self.zone_of))
         if many and now - fleet.alarm_us > SECOND_US:
             fleet.alarm_us = now
             self.desk.out += fleet.probes(fleet.playing())
