--- a/plankroute/net/clock.py
+++ b/plankroute/net/clock.py
@@ -1,10 +1,34 @@
-"""The steward's clock: Unix time in whole microseconds as it was at the start, and steady from there."""
+"""The steward's clock: Unix time in whole microseconds as it was at the start, and steady from there; and
+time-outs that its own standing still does not use up."""
 
+import asyncio
 import heapq
 import time
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
 
 Reading = Callable[[], int]
+LATE_S = 0.05  # a timer of ours so late tells that the process stood still; at work it is late by a few ms
+
+
+@asynccontextmanager
+async def patience(seconds: float) -> AsyncGenerator[None, None]:
+    """A time-out (TimeoutError) that leaves as long again as its own timer was late.
+
+    Guards against others blamed for a pause of this process: what came meanwhile is read first."""
+    loop = asyncio.get_running_loop()
+    due = loop.time() + seconds
+    async with asyncio.timeout(None) as timeout:
+
+        def look() -> None:
+            late = loop.time() - due
+            timeout.reschedule(loop.time() + (min(late, seconds) if late > LATE_S else 0.0))
+
+        handle = loop.call_at(due, look)
+        try:
+            yield
+        finally:
+            handle.cancel()
 
 
 def steady_us() -> int:
--- a/plankroute/net/discovery.py
+++ b/plankroute/net/discovery.py
@@ -143,6 +143,7 @@
             for line in cutter.feed(piece):
                 if isinstance(line, Refused) or (line.strip() and not self.take(line)):
                     return CallFailed(call.reached, "what came can't be used")
+                call.renew()
                 self.hear()
         return None
 
--- a/plankroute/net/http.py
+++ b/plankroute/net/http.py
@@ -9,9 +9,11 @@
 import h11
 
 from plankroute.net.address import host_and_port
+from plankroute.net.clock import patience
 from plankroute.net.errors import CallFailed, Reached
 
 READ_AT_ONCE = 65536  # bytes
+MOVES_ON = 4096  # bytes of a body within the quiet time: a slow way brings them, a drip does not
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,7 +25,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """Time-outs in seconds, and the longest body in bytes."""
+    """Time-outs in seconds, and the longest body in bytes.
+
+    `quiet_s`: for the head, then for each `MOVES_ON` bytes, or what the reader of the body takes for news."""
 
     dial_s: float
     quiet_s: float
@@ -38,6 +42,7 @@
         self.reached, self.status = Reached.NOTHING, 0
         self.retry_after: bytes | None = None  # as the answer has it, if it does
         self.asked = self.dialled = 0.0  # when it asked, and how long the connection took to come up
+        self.due, self.brought = 0.0, 0  # by when, on the loop's clock, something new is to come; bytes since
         self.machine = h11.Connection(h11.CLIENT)
         self.writer: asyncio.StreamWriter | None = None
 
@@ -45,11 +50,19 @@
         why = f"{type(error).__name__}: {error}".strip(": ")
         return CallFailed(self.reached, why, isinstance(error, TimeoutError))
 
+    def renew(self) -> None:
+        """Something whole has come. Guards against a drip of bytes that keeps a call open for good."""
+        self.due, self.brought = asyncio.get_running_loop().time() + self.limits.quiet_s, 0
+
+    async def more(self, reader: asyncio.StreamReader) -> bytes:
+        async with patience(self.due - asyncio.get_running_loop().time()):
+            return await reader.read(READ_AT_ONCE)
+
     async def pieces(self) -> AsyncGenerator[bytes, None]:
         """The body as it comes; raises OSError, TimeoutError or h11.ProtocolError."""
         host, port = host_and_port(self.address)
         begun = monotonic()
-        async with asyncio.timeout(self.limits.dial_s):
+        async with patience(self.limits.dial_s):
             reader, self.writer = await asyncio.open_connection(host, port, limit=READ_AT_ONCE)
         self.reached = Reached.CONNECTED
         head = h11.Request(method="GET", target=self.target,
@@ -57,16 +70,19 @@
         self.writer.write((self.machine.send(head) or b"") + (self.machine.send(h11.EndOfMessage()) or b""))
         self.reached, self.asked = Reached.ASKED, monotonic()
         self.dialled = self.asked - begun
+        self.renew()
         while True:
             event = self.machine.next_event()
             if event is h11.NEED_DATA:
-                async with asyncio.timeout(self.limits.quiet_s):
-                    self.machine.receive_data(await reader.read(READ_AT_ONCE))
+                self.machine.receive_data(await self.more(reader))
             elif isinstance(event, h11.Response):
+                self.renew()
                 self.reached, self.status = Reached.HEAD, event.status_code
                 self.retry_after = dict(event.headers).get(b"retry-after")
             elif isinstance(event, h11.Data):
-                self.reached = Reached.BODY
+                self.reached, self.brought = Reached.BODY, self.brought + len(event.data)
+                if self.brought >= MOVES_ON:
+                    self.renew()
                 yield bytes(event.data)
             elif isinstance(event, (h11.EndOfMessage, h11.ConnectionClosed)):
                 return
--- a/plankroute/net/probes.py
+++ b/plankroute/net/probes.py
@@ -7,7 +7,7 @@
 from plankroute.interface.facts import ReportWay, StartFacts
 from plankroute.interface.notes import LoadReport, Outcome
 from plankroute.net.book import Book
-from plankroute.net.clock import Clock
+from plankroute.net.clock import Clock, patience
 from plankroute.net.directory import Directory
 from plankroute.net.errors import CallFailed, Reached
 from plankroute.net.http import Answer, Limits, fetch
@@ -59,22 +59,27 @@
         self.start()
 
     async def call(self, host: int) -> None:
-        asked_us, uid = self.clock.now(), self.directory.uid(host)
+        asked_us, known = self.clock.now(), self.directory.hosts[host]
+        asked = known.address, known.boot_ms
         self.book.count("sent.probes")
         try:
-            async with asyncio.timeout(self.limits.dial_s + self.limits.quiet_s):
-                answer = await fetch(self.directory.address(host), self.target, self.limits)
+            async with patience(self.limits.dial_s + self.limits.quiet_s):
+                answer = await fetch(known.address, self.target, self.limits)
         except TimeoutError as error:
             answer = CallFailed(Reached.ASKED, str(error), timed_out=True)
         finally:
             del self.busy[host]
             self.start()
+        if self.directory.hosts.get(host) is not known or asked != (known.address, known.boot_ms):
+            # Guards against a word of the process before that is held against, or for, the new one.
+            self.book.count("dropped.late_probes")
+            return
         outcome, report = judge_call(answer)
         self.book.count(f"answered.probes.{outcome.name.lower()}")
         if report:
             self.book.count_report(report)
         if outcome is not Outcome.ANSWERED:
-            self.book.log.event("info", "probe_bad", host=uid, outcome=outcome.value,
+            self.book.log.event("info", "probe_bad", host=known.uid, outcome=outcome.value,
                                 how=str(answer))
         # Guards against far hosts taken for slow ones.
         took_us = answer.served_us if isinstance(answer, Answer) else self.clock.now() - asked_us
