--- a/plankroute/net/admit.py
+++ b/plankroute/net/admit.py
@@ -29,6 +29,7 @@
     role: Role = Role.STRANGER
     proxy: int | None = None
     zone: int | None = None  # a collector's
+    has_told: bool = False  # it has brought sums
     marks: deque[int] = field(default_factory=lambda: deque(maxlen=Party.MOST_MARKS))  # not yet answered
 
 
@@ -94,6 +95,7 @@
             return refused("host or zone not known")
         if said.voided > said.tries or said.mean_us > self.longest_us:
             return refused("sums that can't be")
+        party.has_told = True
         return notes.HostSums(host, zone, said.tries, said.voided, said.mean_us, said.span_us, said.report)
 
     def traffic(self, party: Party, said: wire.TrafficSaid) -> notes.Note | Refused:
--- a/plankroute/net/listener.py
+++ b/plankroute/net/listener.py
@@ -26,6 +26,7 @@
 TAKEN = {kind: f"taken.{kind.__name__.removesuffix('Said').lower()}"
          for kind in (Asked, AppliedSaid, CollectorSaid, HelloSaid, HostSaid, TrafficSaid)}
 QUIET_COLLECTOR_S = 60.0  # reports come each second or so; a late one must not cost the connection
+MOST_COLLECTORS = 4  # of a zone: it has one, and one or two that a cut or a restart has left behind
 
 
 class Listener:
@@ -139,10 +140,16 @@
             self.turn_away(next(iter(self.askers)))
 
     def replace_collector(self, peer: Peer) -> None:
-        """One that a cut has silenced never ends by itself: it goes when its zone's collector is back."""
+        """One that a cut has silenced never ends by itself: it goes when its zone's collector is back.
+
+        Guards against a flood of collectors, too, that leaves proxies no room: those that never brought sums
+        go first, then the one that has been quiet for longest."""
         late, zone = time.monotonic() - QUIET_COLLECTOR_S, peer.party.zone
-        for old in [old for old in self.peers if old is not peer and old.party.role is Role.COLLECTOR]:
-            if old.party.zone == zone and old.heard < late:
+        others = [old for old in self.peers if old is not peer and old.party.role is Role.COLLECTOR
+                  and old.party.zone == zone and not old.is_ending()]
+        others.sort(key=lambda old: (old.party.has_told, old.heard))
+        for place, old in enumerate(others):
+            if old.heard < late or len(others) - place >= MOST_COLLECTORS:
                 self.book.count("dropped.collectors")
                 old.outlet.reset()
 
@@ -165,8 +172,19 @@
         self.askers.pop(peer, None)
 
     def make_room(self) -> None:
-        """Where descriptors are few those that have but asked go first, then the oldest stranger."""
-        if len(self.peers) > self.room.peers and (waiting := self.askers or self.strangers):
+        """Where descriptors are few those that have but asked go first, then strangers, the oldest first.
+
+        Guards against proxies back from a cut that are turned away unheard, for the room is full of their
+        own old streams: these count as left, and go before the last few strangers. Harm: one that only stood
+        still dials again."""
+        if len(self.peers) <= self.room.peers:
+            return
+        few = len(self.strangers) <= AT_ONCE
+        if not self.askers and few and (silent := self.streams.oldest_silent()):
+            self.book.count("dropped.silent_streams")
+            self.drop(silent)
+            silent.outlet.reset()
+        elif waiting := self.askers or self.strangers:
             self.turn_away(next(iter(waiting)))
 
     def room_for_probes(self) -> int:
