Signals during a start or an end are neither missed nor spoil it; the end is bounded

Need: SIGTERM, SIGHUP and a second signal at any instant. Seen by review, each shown by a test: - SIGHUP was ignored from main() to the loop: a configuration written after the old one was read was missed for good (service.main).

--- a/plankroute/__main__.py
+++ b/plankroute/__main__.py
@@ -9,6 +9,8 @@
     if len(sys.argv) > 1:
         from plankroute.cli.main import cli
         return cli()
+    from plankroute.net import early
+    early.heed()  # before the rest is imported, which takes a tenth of a second
     from plankroute.net.service import main as serve
     return serve()
 
--- a/plankroute/net/learned.py
+++ b/plankroute/net/learned.py
@@ -4,9 +4,11 @@
 
 import asyncio
 import re
+import threading
 import time
 import zlib
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from pathlib import Path
 
 from plankroute.coldstart.follow import ranked
@@ -70,8 +72,15 @@
         """The file, before the first proxy can join; no longer than `READ_S`."""
         if self.path is None:
             return
-        reading = asyncio.create_task(asyncio.to_thread(self.read))
+        loop, reading = asyncio.get_running_loop(), asyncio.get_running_loop().create_future()
         reading.add_done_callback(self.have_read)
+
+        def read() -> None:
+            kept = self.read()
+            with suppress(RuntimeError):  # the loop has ended meanwhile
+                loop.call_soon_threadsafe(lambda: reading.done() or reading.set_result(kept))
+        # No thread of a pool, which the end would wait for: a disk that hangs must not hold it up.
+        threading.Thread(target=read, daemon=True).start()
         await asyncio.wait([reading], timeout=READ_S)
 
     def start(self) -> None:
@@ -79,7 +88,8 @@
             loop = asyncio.get_running_loop()
 
             def done(size: int, error: OSError | None) -> None:
-                loop.call_soon_threadsafe(self.wrote, size, error)
+                with suppress(RuntimeError):  # the loop has ended meanwhile
+                    loop.call_soon_threadsafe(self.wrote, size, error)
             self.saver = Saver(self.disk, self.path, done)
             self.keep_task(self.save_always())
         if self.part.ask_peers:
@@ -104,7 +114,7 @@
         except OSError as error:
             return error
 
-    def have_read(self, reading: "asyncio.Task[Kept | Unusable | OSError | None]") -> None:
+    def have_read(self, reading: "asyncio.Future[Kept | Unusable | OSError | None]") -> None:
         if reading.cancelled() or (kept := reading.result()) is None:
             return
         match kept:
@@ -263,10 +273,12 @@
         if self.saver:
             self.saved = None
             self.save()
-        left = await self.leave_with_peer()
-        written = await asyncio.to_thread(self.saver.finish, LAST_S) if self.saver else False
+        left, written = await asyncio.gather(self.leave_with_peer(), self.finish_file())
         self.book.log.event("info", "learned_handed_over", file=written, peer=left)
 
+    async def finish_file(self) -> bool:
+        return await asyncio.to_thread(self.saver.finish, LAST_S) if self.saver else False
+
     async def leave_with_peer(self) -> str:
         for name, address in self.peers()[:1] if self.part.ask_peers else ():
             try:
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from plankroute.messages import Player
+from plankroute.net import early
 from plankroute.net.admit import Admission
 from plankroute.net.book import Book, Log, to_stderr
 from plankroute.net.boot import Boot, read_boot
@@ -31,11 +32,12 @@
     from plankroute.ownfile import OwnFile
 
 OWN_FILE = "PLANKROUTE_FILE"  # names our own JSON file; without it all that the file switches on is off
-OPEN_AGAIN_S, OPEN_EVERY_S = 5.0, 0.1  # how long, and how often, a held address is tried
+OPEN_AGAIN_S, OPEN_EVERY_S = 25.0, 0.1  # how long, and how often, a held address is tried: 30 s end a start
 SWEEP_S = 0.25  # between looks at strangers: their time is counted in seconds
 UNUSABLE = (KeyError, OSError, StartError)  # what a configuration that can't be used ends in
-KEPT = ("name", "listen", "facts", "zones", "kinds", "products")  # for the life of the process
-FINISH_S = 0.2  # for the last log lines: well within what operators leave after SIGTERM
+KEPT = ("listen", "facts", "zones", "kinds", "products")  # for the life of the process
+FINISH_S = 0.15  # for the last log lines: well within the 0.7 s that operators leave after SIGTERM
+PARTS_END_S = 0.45  # for what our own file switched on, all together
 
 
 class Service:
@@ -43,6 +45,8 @@
 
     def __init__(self, boot: Boot, book: Book, own: "OwnFile | None" = None) -> None:
         self.boot, self.book, self.stop = boot, book, asyncio.Event()
+        self.signals = {signal.SIGTERM: self.stop.set, signal.SIGINT: self.stop.set,
+                        signal.SIGUSR1: book.print, signal.SIGHUP: self.reload}
         clock = Clock()
         self.directory = Directory(clock, boot.zones, boot.kinds, boot.products)
         self.router = Router(Steward(boot.facts, boot.seed), Player(len(boot.products)), clock, book,
@@ -74,34 +78,47 @@
 
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.stop.set)
-        loop.add_signal_handler(signal.SIGUSR1, self.book.print)
-        loop.add_signal_handler(signal.SIGHUP, self.reload)
+        for number, work in self.signals.items():
+            loop.add_signal_handler(number, work)
         loop.set_exception_handler(self.on_loop_error)
+        if early.hung_up():
+            self.reload()
         if self.boot.facts.slices:
             self.book.say_once("unsupported_slices")
         self.discovery.start(self.boot.known)
         if self.extras:
             await self.extras.recall()
         self.router.flush()  # the core has its list before anybody can ask whether the steward is alive
-        await self.open()
-        self.book.log.event("info", "listening", address=self.boot.listen,
-                            hosts=len(self.directory.hosts))
-        sweeping = asyncio.create_task(self.sweep())
-        if self.extras:
-            self.extras.start()
-        await self.stop.wait()
-        sweeping.cancel()
-        if self.extras:
-            await self.extras.close()
+        if await self.open():
+            self.book.log.event("info", "listening", address=self.boot.listen,
+                                hosts=len(self.directory.hosts))
+            sweeping = asyncio.create_task(self.sweep())
+            if self.extras:
+                self.extras.start()
+            await self.stop.wait()
+            sweeping.cancel()
         self.prober.close()
         self.listener.close()
+        if self.extras:
+            await self.close_extras(self.extras)
+
+    async def close_extras(self, extras: "Extras") -> None:
+        """Guards against a part that fails, or is slow, as it closes: the end is not held up by it."""
+        try:
+            async with asyncio.timeout(PARTS_END_S):
+                await extras.close()
+        except TimeoutError:
+            self.book.say_once("parts_cut_short")
+        except Exception as error:
+            self.book.failed("parts", error)
 
     def reload(self) -> None:
-        """A new configuration under load: what can change does; one that can't be used changes nothing."""
+        """A new configuration under load: what can change does; one that can't be used, or is another
+        steward's, changes nothing."""
         try:
             new, own = read_configuration(), own_file()
+            if new.name != self.boot.name:
+                raise StartError(f"it is {new.name}'s")
         except UNUSABLE as error:
             self.book.count("dropped.configurations")
             self.book.log.event("error", "reload_failed", why=f"{type(error).__name__}: {error}")
@@ -117,17 +134,20 @@
         self.book.count("taken.configurations")
         self.book.log.event("warning" if kept else "info", "reloaded", discovery=new.discovery, kept=kept)
 
-    async def open(self) -> None:
-        """Guards against a start that fails because the process before has not quite gone."""
+    async def open(self) -> bool:
+        """Guards against a start that fails because the process before has not quite gone. False: told to end
+        before that."""
         end = time.monotonic() + OPEN_AGAIN_S
         while not self.stop.is_set():
             try:
-                return await self.listener.open(self.boot.listen)
+                await self.listener.open(self.boot.listen)
+                return True
             except OSError as error:
                 if error.errno != errno.EADDRINUSE or time.monotonic() > end:
                     raise
                 self.book.say_once("address_in_use")
                 await asyncio.sleep(OPEN_EVERY_S)
+        return False
 
     def on_loop_error(self, _: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
         """What no connection caught, such as no descriptors left for accepting: asyncio goes on by itself."""
@@ -154,8 +174,16 @@
     return read_own_file(path)
 
 
+async def run_to_its_end(service: Service) -> None:
+    await service.run()
+    for number in service.signals:
+        asyncio.get_running_loop().remove_signal_handler(number)
+    early.ignore()
+
+
 def main() -> int:
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until the loop runs: what is being read is the newest
+    early.heed()
+    early.hung_up()  # what is read from here is the newest
     try:
         boot = read_configuration()
     except UNUSABLE as error:
@@ -170,7 +198,7 @@
     book = Book(log)
     try:
         gc.freeze()
-        asyncio.run(Service(boot, book, own).run())
+        asyncio.run(run_to_its_end(Service(boot, book, own)))
     except OSError as error:
         log.event("error", "start_failed", why=str(error))
         log.finish(FINISH_S)
--- a/tests/test_learned.py
+++ b/tests/test_learned.py
@@ -4,6 +4,7 @@
 import os
 import random
 import struct
+import threading
 import time
 from pathlib import Path
 
@@ -27,7 +28,7 @@
 from plankroute.learned.merge import Heard, first, join
 from plankroute.net.book import Book, Log
 from plankroute.net.keep import Disk, Saver, replace
-from plankroute.net.learned import LearnedParts, file_name
+from plankroute.net.learned import LAST_S, READ_S, LearnedParts, file_name
 from plankroute.net.links import frames_of_view
 from plankroute.ownfile import LearnedPart
 from test_decide import feed, generated_day, probes, ready_bench
@@ -242,6 +243,36 @@
     assert "/" not in file_name("../../etc/x") and file_name("n1") == "n1.learned"
 
 
+def test_a_disk_that_hangs_holds_up_neither_the_start_nor_the_end(tmp_path):
+    """Guards against an end that waits for a thread which waits for a disk."""
+    hangs, took = threading.Event(), list[float]()
+
+    class Hanging(Disk):
+        def read(self, path: Path, most: int) -> bytes | None:
+            hangs.wait(20)
+            return None
+
+        def write(self, path: Path, data: bytes) -> None:
+            hangs.wait(20)
+
+    async def run() -> None:
+        learner, _ = parts(LearnedPart(folder=str(tmp_path)), Hanging())
+        learner.view = lambda: view(FACTS)  # type: ignore[method-assign]
+        began = time.monotonic()
+        await learner.recall()
+        took.append(time.monotonic() - began)
+        learner.start()
+        began = time.monotonic()
+        await learner.hand_over()
+        took.append(time.monotonic() - began)
+
+    began = time.monotonic()
+    asyncio.run(run())
+    took.append(time.monotonic() - began - sum(took))
+    hangs.set()
+    assert took[0] < READ_S + 1.0 and took[1] < LAST_S + 1.0 and took[2] < 1.0
+
+
 # Decisions
 
 
@@ -347,9 +378,9 @@
 # Peers, scripted
 
 
-def parts(part: LearnedPart) -> tuple[LearnedParts, list[notes.Note]]:
-    out: list[notes.Note] = []
-    return LearnedParts(part, "n0", "g", "127.0.0.1", Book(Log("n0", lambda line: None)), out.append), out
+def parts(part: LearnedPart, disk: Disk | None = None) -> tuple[LearnedParts, list[notes.Note]]:
+    out, book = list[notes.Note](), Book(Log("n0", lambda line: None))
+    return LearnedParts(part, "n0", "g", "127.0.0.1", book, out.append, disk), out
 
 
 async def asked(answer) -> tuple[LearnedParts, list[ViewCame], float]:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -192,13 +192,14 @@
         old, elsewhere = await stage.agent.watches.get(), Agent()
         async with await asyncio.start_server(elsewhere.serve, "127.0.0.1", 0) as server:
             moved = orjson.loads(config(server.sockets[0].getsockname()[1]))
-            moved["limits"]["sockets"], moved["name"] = 600, "n2"
-            for text in (b"", orjson.dumps(moved)[:-9], orjson.dumps({**moved, "settings": 3}),
-                         orjson.dumps({**moved, "discovery": "nowhere"})):
+            moved["limits"]["sockets"], moved["listen"] = 600, "127.0.0.1:1"
+            for text in (b"", orjson.dumps(moved)[:-9], orjson.dumps({**moved, "settings": 3}), b"[]",
+                         orjson.dumps({**moved, "discovery": "nowhere"}),
+                         orjson.dumps({**moved, "name": "n2"})):
                 await reload(stage, text, "dropped.configurations")
             path.unlink()
             os.kill(os.getpid(), signal.SIGHUP)
-            await stage.until(lambda: stage.counts["dropped.configurations"] == 5)
+            await stage.until(lambda: stage.counts["dropped.configurations"] == 7)
             assert elsewhere.asked.empty() and not old.transport.is_closing()
             await reload(stage, orjson.dumps(moved), "taken.configurations")
             assert await elsewhere.asked.get() == "/catalog/members?watch=1&after=41"
@@ -212,8 +213,8 @@
 
     play(scene, log)
     said = [line for line in map(orjson.loads, log) if line["event"] in ("reloaded", "reload_failed")]
-    assert [line["level"] for line in said] == ["error"] * 5 + ["warning"] * 2
-    assert said[-1]["kept"] == ["name"]
+    assert [line["level"] for line in said] == ["error"] * 7 + ["warning"] * 2
+    assert said[-1]["kept"] == ["listen"] and "it is n2's" in said[5]["why"]
 
 
 def test_a_new_stream_before_the_old_ones_end_is_no_leaving():
