The lab leaves priorities as they are

Need: the machine's priorities are left alone, also when it is busy. Change: stewards of the lab are no longer niced.

--- a/plankroute/lab/processes.py
+++ b/plankroute/lab/processes.py
@@ -32,7 +32,6 @@
 JOIN_S = 60.0  # for all to join: some hundred interpreters may start at once
 LOOK_S = 0.02
 DEATH_SIGNAL = 1  # PR_SET_PDEATHSIG of Linux
-BEHIND = 5  # of nice: hundreds of stewards on a few cores must not starve the stand-ins that they are to meet
 SETTINGS = {
     "classes": [{"name": "lookup", "idempotency": "retryable"}], "dcs": ["a", "b", "c"],
     "machineTypes": ["m"], "familyInfo": {"proxies": 9, "pushRate": 2000.0, "queueCap": 4000, "envelope": 6}
@@ -43,7 +42,6 @@
     """Before a steward begins. Guards against stewards that outlive a lab that was itself killed: they hold
     their addresses for good."""
     ctypes.CDLL(None).prctl(DEATH_SIGNAL, signal.SIGKILL)
-    os.nice(BEHIND)
 
 
 class Plan(msgspec.Struct, frozen=True):
