--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -385,8 +385,7 @@
         ring = ring[(at := int(start * len(ring))):] + ring[:at]
         open_to = set(able)
         warm = [i for i in ring if i in open_to and fleet.cap[i] == NO_CAP and not fleet.shut[i]]
-        most = max(self.LEAST_HOSTS, math.ceil(part * len(warm)))
-        if most >= len(warm):
+        if (most := max(self.LEAST_HOSTS, math.ceil(part * len(warm)))) >= len(warm):
             return able
         return sorted(open_to.intersection(ring[:ring.index(warm[most - 1]) + 1]))
 
@@ -591,13 +590,13 @@
                 room -= self.set_line(change, room)
 
     def set_line(self, change: Change, room: float) -> int:  # the lines it took: none where there is no room
-        users = self.users(change.table)
-        if len(users) > room:
+        table, payers = change.table, self.payers(change.table, change.place, self.fleet.once)
+        if len(payers) > room:
             return 0
-        table, host = change.table, self.fleet.ids[change.place]
         table.set(change.place, change.count)
-        self.order(orders.SetLine(table.number, host, float(change.count)), users)
-        return len(users)
+        line = orders.SetLine(table.number, self.fleet.ids[change.place], float(change.count))
+        self.order(line, payers)
+        return len(payers)
 
     def tell_gone(self, host: int, room: float) -> int:
         """Its line goes; proxies on other tables, and all where several name it, are told: a line a proxy."""
@@ -645,23 +644,24 @@
         """Each proxy once a stream, and never to tables without lines; fresh ones, and large ones, first."""
         for change in () if self.bound or self.fleet.learning_us else list(self.changes()):
             self.set_line(change, NO_CAP)  # nobody pays for them yet, and binds are to carry the newest
-        filled, out = any(t.pushed for t in self.tables) and not self.fleet.learning_us, self.withdrawn
+        filled = any(t.pushed for t in self.tables) and not self.fleet.learning_us
+        out = self.withdrawn, self.withdrawn | self.fleet.once  # lines more: for who is fresh, and is not
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
-            costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & out) for t in tables]
+            held = out[proxy in self.olds]
+            costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & held) for t in tables]
             needs = sum(costs) + self.channel.head
             # Guards against a table longer than binds may queue, which would never go; alone it does.
             if needs > self.room(max(self.bind_allowance, min(needs, self.allowance))):
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
-            for table, lines in zip(tables, costs):
-                products = tuple(table.products) if len(self.tables) > 1 else None
-                self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
+            for table, cost in zip(tables, costs):
+                of = tuple(table.products) if len(self.tables) > 1 else None
+                self.order(orders.Bind(table.number, proxy, of), [proxy], cost)
 
     def close(self) -> None:  # marks what this batch wrote: the answers tell when it has left the channel
-        if mark := self.channel.close():
-            self.desk.out.append(orders.Mark(mark))
+        self.desk.out += [orders.Mark(mark)] if (mark := self.channel.close()) else []
 
 
 class Levels(Actor):
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -35,6 +35,7 @@
         self.shut: list[bool] = []
         self.speed: list[float] = []  # probes a second, by the last one that was answered
         self.cut: list[bool] = []  # the last probe did not get through
+        self.once = set[int]()  # hosts that proxies back from elsewhere may hold back, where binds let back
         self.proxies = 0  # joined
         self.least_move = 0.0  # what a line costs, as a part of a usual slot
         self.dear = False  # writing all slots takes more than a turn's room in the channel
--- a/plankroute/interface/facts.py
+++ b/plankroute/interface/facts.py
@@ -84,6 +84,7 @@
     queue_cap: int
     messages_most: int
     messages_window_us: int
+    lets_back: bool  # who binds a proxy back from elsewhere lets back, a line each, what it may yet hold back
     way_us: int
     way_most_us: int
     # the rules' figures
--- a/plankroute/net/boot.py
+++ b/plankroute/net/boot.py
@@ -1,6 +1,6 @@
 """What operators hand a real steward: its addresses, limits, first list and settings."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 import orjson
@@ -45,7 +45,7 @@
         return Boot(
             name=str(raw["name"]), listen=address(raw["listen"]), discovery=address(raw["discovery"]),
             seed=int(str(raw["seed"]), 16), room=room(raw.get("limits") or {}),
-            known=raw.get("known"), facts=facts, zones=names(settings["dcs"]),
+            known=raw.get("known"), facts=replace(facts, lets_back=True), zones=names(settings["dcs"]),
             kinds=names(settings["machineTypes"]),
             products=names([item["name"] for item in settings["classes"]]),
             gather_us=microseconds(float(settings.get("quantumMs", USUAL_GATHER_MS))),
--- a/plankroute/start.py
+++ b/plankroute/start.py
@@ -65,7 +65,7 @@
         proxies=int(fam.get("proxies", 0)), prices=price_facts(prices, fam),
         lines_per_s=float(fam.get("pushRate", 1000.0)), head_lines=math.ceil(fam.get("envelope", 1)),
         queue_cap=int(fam.get("queueCap", 1000)), messages_most=int(fam.get("reloadsMax", 0)),
-        messages_window_us=span(fam, "updateWindowMs", 10000), way_us=span(fam, "lateMs", 0),
+        messages_window_us=span(fam, "updateWindowMs", 10000), lets_back=False, way_us=span(fam, "lateMs", 0),
         way_most_us=span(fam, "transitMaxMs", 0), bare_us=span(fam, "bareMs", 1000),
         grace_us=span(safety, "drainGraceMs", 1000), cold_us=span(safety, "coldMs", 0),
         cold_share=float(safety.get("startCapacity", 1.0)),
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -17,6 +17,7 @@
         self.publisher = Publisher(self.desk, self.fleet, facts)
         self.balancer = Balancer(self.desk, self.fleet, self.publisher.tables)
         self.levels = Levels(self.desk, self.fleet, facts, self.publisher)
+        self.lets_back = facts.lets_back
         self.ask = orders.Subscribe(True) if facts.must_subscribe else orders.AskList()
         self.desk.out.append(orders.SetTimer(self.balancer.first_us, self.TURN))
         self.desk.out.append(orders.SetTimer(Publisher.PULSE_US, self.PULSE))
@@ -71,6 +72,8 @@
             if host not in fleet.index:
                 place = fleet.add(entry)
                 self.hosts[place:place + 1] = [Host(self.desk, fleet, place)]
+            if self.lets_back and (entry.state is not HostState.READY or entry.started_us):
+                fleet.once.add(fleet.index[host])
             for part in (self.hosts[fleet.index[host]], self.publisher):
                 self.desk.put(part, entry)
         self.desk.run()
@@ -93,7 +96,7 @@
     def forget(self, hosts: list[int]) -> None:
         for host in hosts:
             place = self.fleet.remove(host)
-            for places in (self.publisher.withdrawn, self.publisher.due):
+            for places in (self.publisher.withdrawn, self.publisher.due, self.fleet.once):
                 places.discard(place)
             self.desk.out.append(orders.Forget(host))
 
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -50,14 +50,17 @@
         self.tables = tables
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
+        self.olds = set[int]()  # those that came on old tables, and may hold back what others held against it
         self.broken: dict[int, int] = {}  # by proxy, when its stream ended, of late
 
     def join(self, note: notes.ProxyJoined) -> None:
         self.zone_of[note.proxy] = note.zone
         self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
+        self.olds |= {note.proxy} if not note.fresh else set()
 
     def leave(self, proxy: int) -> None:
         self.bound.discard(proxy)
+        self.olds.discard(proxy)
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
@@ -69,6 +72,11 @@
     def users(self, table: Pushed) -> list[int]:
         return [proxy for proxy in self.bound if table.held_in(self.zone_of[proxy])]
 
+    def payers(self, table: Pushed, place: int, once: set[int]) -> list[int]:
+        """The table's users, a line each for the host's next; twice to whom it is let back with its first."""
+        users, is_first = self.users(table), place in once and place not in table.pushed
+        return users + [proxy for proxy in users if is_first and proxy in self.olds]
+
     def naming(self, host: int) -> list[Any]:
         return [table for table in self.tables if host in table.pushed]
 
--- a/tests/model.py
+++ b/tests/model.py
@@ -22,6 +22,7 @@
     plain = StartFacts(
         products=(product(),), zones=3, own_zone=0, steward=0, stewards=1, proxies=6, prices=Prices(),
         lines_per_s=2000.0, head_lines=6, queue_cap=4000, messages_most=0, messages_window_us=10 * SECOND,
+        lets_back=False,
         way_us=200_000, way_most_us=500_000, bare_us=3 * SECOND, grace_us=2 * SECOND, cold_us=15 * SECOND,
         cold_share=0.2, fall_multiple=3.0, fall_window_us=2 * SECOND, only_draining_binds=False,
         must_ask_us=10 * SECOND, level_unit=LevelUnit.NONE, usual_retry=1, retry_wait_share=1.0,
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -422,7 +422,8 @@
     assert result.outcome is Outcome.ANSWERED
 
 
-@pytest.mark.parametrize("pause_s, after_s, in_time", [(0.0, 0.4, False), (0.6, 0.05, True), (0.6, 0.9, False)])
+@pytest.mark.parametrize("pause_s, after_s, in_time", [
+    (0.0, 0.4, False), (0.6, 0.05, True), (0.6, 0.9, False)])
 def test_patience_is_as_long_again_as_its_own_timer_was_late(pause_s, after_s, in_time):
     async def run() -> bool:
         loop, came = asyncio.get_running_loop(), asyncio.Event()
--- a/tests/test_net.py
+++ b/tests/test_net.py
@@ -436,6 +436,34 @@
     assert not listed.entries and not refused and "s-9" not in known.ids
 
 
+def test_the_books_hold_all_that_messages_cost_whatever_proxies_may_hold_back():
+    """Guards against a channel fuller than its cap: who came from elsewhere is let back what it may hold."""
+    known, facts = named(*[f"s-{n}" for n in range(40)]), start_facts(lets_back=True, cold_us=SECOND)
+    router, now, over = Router(Steward(facts, 7), Player(1), Clock(), Book(Log("n", print)), 1000), 10**15, []
+    channel = router.steward.publisher.channel
+
+    def send(message) -> None:
+        over.append(channel.sent[message.mark][message.proxy] - message.cost() - facts.head_lines)
+
+    def work(*batch: notes.Note) -> None:
+        router.work_on(now, [*batch, *map(notes.TimerDue, (Steward.PULSE, Steward.TURN))])
+
+    router.send = send
+    first = [member(f"s-{n}", boot_ms=5.0 * (n % 3)) for n in range(40)]
+    work(known.note(list_from(listing(*first)), ListKind.CACHED)[0])
+    work(*[notes.ProxyJoined(proxy, 0, 9.0, proxy % 2 == 0) for proxy in range(6)])
+    for n in range(30):
+        now += 7 * SECOND  # longer than it learns from what old tables bring
+        changed = [member(f"s-{n}", "DRAINING"), member(f"s-{n + 40}", boot_ms=now / 1000)]
+        changed += [member(f"s-{n - 9}", boot_ms=now / 1000)] * (n > 9)  # it is back
+        gone = n % 6
+        work(known.note(list_from(listing(*changed, rev=42 + n, whole=False)))[0],
+             *[notes.Applied(p, channel.serial, 1) for p in range(6)],
+             notes.ProxyLeft(gone), notes.ProxyJoined(gone, 0, 9.0, n % 4 == 0))
+    assert len(over) > 100 and min(over) >= 0 and router.book.counts["core.failed"] == 0
+    assert sum(over) < 5 * len(over)  # they hold little more than that
+
+
 def day_of(name: Callable[[str], str]) -> list[str]:
     """What a steward writes on a day of changes; every name of the outside goes through `name`."""
     zones, kinds = [name(f"z{n}") for n in range(3)], [name(f"k{n}") for n in range(2)]
@@ -443,14 +471,16 @@
     settings = {
         "classes": [{"name": product, "idempotency": effect} for product, effect in zip(
             products, ("retryable", "dedup", "fragile"))],
-        "dcs": zones, "machineTypes": kinds, "instances": 4, "rank": 1, "zone": 0, "caps": {"mayProbe": False},
-        "familyInfo": {"proxies": 240, "pushRate": 500.0, "queueCap": 40000, "envelope": 6, "bareMs": 60000.0},
+        "dcs": zones, "machineTypes": kinds, "instances": 4, "rank": 1, "zone": 0,
+        "caps": {"mayProbe": False}, "familyInfo": {
+            "proxies": 240, "pushRate": 500.0, "queueCap": 40000, "envelope": 6, "bareMs": 60000.0},
         "safety": {"drainGraceMs": 12000.0, "coldMs": 15000.0, "startCapacity": 0.2, "fallMultiple": 3.0}}
     boot = read_boot(orjson.dumps({"name": name("n1"), "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
                                    "seed": "7", "settings": settings}))
     known = Directory(Clock(lambda: 10**18, lambda: 10**18), boot.zones, boot.kinds, boot.products)
     admission = Admission(known, 240, 8 * SECOND)
-    router = Router(Steward(boot.facts, boot.seed), Player(3), Clock(), Book(Log("n", lambda line: None)), 1000)
+    book = Book(Log("n", lambda line: None))
+    router = Router(Steward(boot.facts, boot.seed), Player(3), Clock(), book, 1000)
     writer, out, now = wire.Writer(boot.products, known.uid), list[str](), 10**15
     router.send = lambda message: out.append(f"{message.proxy} {writer.write(message).decode()}")
 
