Proxies on standing tables are bound before slots where a tenth of their zone is gone

Seen: one line a turn of the core's view: that proxy, fresh and small, waits unbound from its start to the 19th second, 13 such proxies become 5 in 14 s; its standing table, a few hosts of a zone, is drained away meanwhile; slots and withdrawals keep the queue over binds' allowance. Excluded: learning (ended long before), the list, the stream. Lines to blame: took out the guard for this (lost_zones) which docs/design.md still describes. Change: it is back, for proxies on standing tables alone: binds may queue as much as slots may, slots wait.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -435,14 +435,14 @@
     PART_FROM_US = 12 * SECOND_US  # for all binds: until then proxies go by tables that nobody steers
     MORE, STEPS = 1.5, 8  # times its even share of proxies, and steps: a table is not to follow each stream
     BURST = 0.1  # of the streams, within a second: more than break by themselves
+    LOST = 0.1  # of a zone's hosts: the few of a standing table, drawn from it, may all be among them
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
     # Lets all in; another try only on proof that the first never ran: others doubled the load of late hosts.
     OPEN = {LevelUnit.NONE: 1.0, LevelUnit.SHARE: 1.0, LevelUnit.RATE: 1e6}
     RETRY = orders.Retry.UNRUN
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
-        # The store keeps the tables of slices.
-        super().__init__(desk, [] if facts.slices else tables_for(facts))
+        super().__init__(desk, [] if facts.slices else tables_for(facts))  # the store keeps those of slices
         self.fleet, self.limit, self.lines_a_us = fleet, facts.queue_cap, facts.lines_per_s / SECOND_US
         self.channel = Channel(facts.head_lines, self.lines_a_us)
         self.spare_us = max(0, facts.grace_us - facts.way_most_us)
@@ -458,7 +458,7 @@
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
         self.proxies, self.stewards = facts.proxies, facts.stewards
         self.start = facts.steward % facts.stewards / facts.stewards  # of its arc of the hosts
-        self.seen, self.found = list[Any](), list[dict[int, int]]()  # what slots follow from, and the slots
+        self.seen, self.found, self.bare = list[Any](), list[dict[int, int]](), False  # slots, their causes
         self.untold_us: int | None = None  # since when proxies wait that were not told who is gone
         self.levels: dict[Any, orders.SetLevel] = {}  # not yet written: a newer one replaces an older
         for table in self.tables:
@@ -490,6 +490,7 @@
                 self.levels[note.table, note.products] = note
             case Beat():
                 self.channel.pass_time(self.desk.now)
+                self.bare = any(self.fleet.gone_part(zone) > self.LOST for zone in self.fresh_zones())
                 self.lift()
                 self.owe()
                 self.write(note is Beat.TURN)
@@ -501,8 +502,8 @@
 
     def count_broken(self, proxy: int) -> None:  # together they may tell of a cut, before sums: all are asked
         fleet, now = self.fleet, self.desk.now
-        many = self.broken_since(proxy, now, SECOND_US) > max(2, self.BURST * len(self.zone_of))
-        if many and now - fleet.alarm_us > SECOND_US:
+        broken = self.broken_since(proxy, now, SECOND_US)
+        if broken > max(2, self.BURST * len(self.zone_of)) and now - fleet.alarm_us > SECOND_US:
             fleet.alarm_us = now
             self.desk.out += fleet.probes(fleet.playing())
 
@@ -529,7 +530,7 @@
         self.refused = bool(self.due)
         for change in (c for c in changes if c.urgent):
             room -= self.set_line(change, room)
-        if self.channel.batch or (turn and since >= 2 * self.least_gap_us):
+        if self.channel.batch or (turn and since >= 2 * self.least_gap_us and not self.bare):
             room = min(room, self.room(self.allowance) - heads)
             self.write_ordinary([c for c in changes if not c.urgent], room)
         if self.channel.batch:
@@ -594,8 +595,7 @@
         if len(payers) > room:
             return 0
         table.set(change.place, change.count)
-        line = orders.SetLine(table.number, self.fleet.ids[change.place], float(change.count))
-        self.order(line, payers)
+        self.order(orders.SetLine(table.number, self.fleet.ids[change.place], float(change.count)), payers)
         return len(payers)
 
     def tell_gone(self, host: int, room: float) -> int:
@@ -614,9 +614,8 @@
     def owe(self) -> None:
         """Who joins may name hosts that are gone: binds settle it, withdrawals where these take too long."""
         fleet, now = self.fleet, self.desk.now
-        if not self.unbound:
-            self.untold_us = None
-        elif self.untold_us is not None and now - self.told_us >= self.most_gap_us:
+        self.untold_us = self.untold_us if self.unbound else None
+        if self.untold_us is not None and now - self.told_us >= self.most_gap_us:
             a_bind = self.channel.head + sum(1 + len(t.pushed) + 2 * len(t.products) for t in self.tables)
             in_time = (self.IN_TIME * self.spare_us - (now - self.untold_us)) * self.lines_a_us
             if fleet.learning_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
@@ -645,6 +644,7 @@
         for change in () if self.bound or self.fleet.learning_us else list(self.changes()):
             self.set_line(change, NO_CAP)  # nobody pays for them yet, and binds are to carry the newest
         filled = any(t.pushed for t in self.tables) and not self.fleet.learning_us
+        most = (self.bind_allowance, self.allowance)[self.bare]  # proxies may be bare: slots wait
         out = self.withdrawn, self.withdrawn | self.fleet.once  # lines more: for who is fresh, and is not
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
@@ -652,7 +652,7 @@
             costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & held) for t in tables]
             needs = sum(costs) + self.channel.head
             # Guards against a table longer than binds may queue, which would never go; alone it does.
-            if needs > self.room(max(self.bind_allowance, min(needs, self.allowance))):
+            if needs > self.room(max(most, min(needs, self.allowance))):
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -78,6 +78,11 @@
         """Hosts that may be sent txns."""
         return [i for i in self.ready() if not self.shut[i] and self.cap[i] > 0]
 
+    def gone_part(self, zone: int) -> float:
+        """Of the hosts of a zone that are known, those listed draining or gone."""
+        places = [i for i in self.index.values() if self.zone[i] == zone]
+        return sum(self.state[i] is not HostState.READY for i in places) / max(1, len(places))
+
     def counted(self, place: int) -> float:
         return min(self.weight[place], self.cap[place])
 
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -64,6 +64,10 @@
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
+    def fresh_zones(self) -> set[int]:
+        """Of those who wait on the tables that they began with."""
+        return {self.zone_of[proxy] for proxy, (is_old, _) in self.unbound.items() if not is_old}
+
     def broken_since(self, proxy: int, now: int, span_us: int) -> int:
         """One more ended: of how many proxies within the span. One that joins without end counts once."""
         self.broken = {other: at for other, at in self.broken.items() if at > now - span_us} | {proxy: now}
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -677,3 +677,32 @@
     bench.give(changes(entry(100, DRAINING)))
     with pytest.raises(AssertionError, match="drained"):
         bench.pass_time(2 * SECOND)
+
+
+def test_proxies_on_standing_tables_are_bound_while_slots_move_and_a_tenth_of_their_zone_is_gone():
+    """Guards against proxies left with nobody to pick: slots filled the channel, turn after turn."""
+    facts = start_facts(lines_per_s=600.0, queue_cap=6000, grace_us=20 * SECOND, way_us=400_000, proxies=60,
+                        may_probe=False)
+    bench = Bench(facts, steward=Steward(facts, 3))
+    bench.give(full(*[entry(100 + n, zone=n % 3) for n in range(60)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0 / (1 + p), True) for p in range(40)])
+    gone = []
+    for turn in range(14):
+        if turn in (2, 4):
+            gone += range(100 + 9 * (turn // 2 - 1), 109 + 9 * (turn // 2 - 1))
+            bench.give(changes(*[entry(host, DRAINING, zone=(host - 100) % 3) for host in gone]))
+        bench.give(*[notes.HostSums(host, 0, 40, 0, 200_000 * (1 + (host + turn) % 7), SECOND, None)
+                     for host in range(100, 160) if host not in gone])
+        bench.pass_time(SECOND)
+    assert not bench.steward.publisher.unbound
+
+
+def test_a_table_of_a_part_widens_until_it_holds_enough_warm_hosts():
+    """Guards against whole tables, which take minutes to bind, after half of the hosts were replaced."""
+    told = start_facts(steward=1, stewards=5, proxies=300, lines_per_s=500.0, queue_cap=40_000,
+                       grace_us=12 * SECOND, bare_us=60 * SECOND, may_probe=False)
+    bench = Bench(told, steward=Steward(told, 1))
+    bench.give(full(*[entry(100 + n, zone=n % 3, started_us=(bench.now - SECOND) * (n % 2)) for n in range(200)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(60)])
+    bench.pass_time(SECOND)
+    assert 40 <= len(bench.lines[0]) <= 60
