Who comes from elsewhere is told at once of the newest drains, and of each host once

Seen, seed 8, one line a turn of the core's view: a steward ends at 16.3 s, 0.2 s after its list told of 20 draining hosts; its 59 proxies join another, which knows of these since 16.1 s; owe() gives them the withdrawals only at 20.5 s, and the grace ends at 20.7 s. Lines to blame: owe() waited for a third of the grace since told_us, which any other drain sets anew, every 1.1 s here. Change: a clock of its own (owed_us); due hosts go newest first, since earlier ones were told by the steward before; books charge a host once a stream (Roll.knows, tell), as the player writes it. Table lines of a bind are Pushed.lines.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -454,7 +454,7 @@
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
         most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
-        self.written_us = self.told_us = -facts.messages_window_us
+        self.written_us = self.told_us = self.owed_us = -facts.messages_window_us
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
         self.proxies, self.stewards = facts.proxies, facts.stewards
         self.start = facts.steward % facts.stewards / facts.stewards  # of its arc of the hosts
@@ -524,7 +524,7 @@
         if since < self.least_gap_us or (busy and not at_once):
             return
         changes = sorted(self.changes(), key=lambda change: (-change.worth, change.place))
-        for host in sorted(self.due, key=lambda i: (not self.naming(i), i)):
+        for host in sorted(self.due, key=lambda i: (not self.naming(i), -fleet.heard_us[i], i)):
             self.told_us = self.desk.now
             room -= self.tell_gone(host, room)
         self.refused = bool(self.due)
@@ -606,7 +606,7 @@
         self.due.discard(host)
         if len(tables) == 1:
             self.set_line(Change(0.0, True, tables[0], host, 0), room)
-        if told := self.zone_of.keys() if len(tables) > 1 else self.unbound.keys():
+        if told := self.tell(host, self.zone_of if len(tables) > 1 else self.unbound):
             self.order(orders.Withdraw(self.fleet.ids[host], True), told)
             self.withdrawn.add(host)
         return lines
@@ -615,12 +615,12 @@
         """Who joins may name hosts that are gone: binds settle it, withdrawals where these take too long."""
         fleet, now = self.fleet, self.desk.now
         self.untold_us = self.untold_us if self.unbound else None
-        if self.untold_us is not None and now - self.told_us >= self.most_gap_us:
-            a_bind = self.channel.head + sum(1 + len(t.pushed) + 2 * len(t.products) for t in self.tables)
+        if self.untold_us is not None and now - self.owed_us >= self.most_gap_us:
+            a_bind = self.channel.head + sum(table.lines(set()) for table in self.tables)
             in_time = (self.IN_TIME * self.spare_us - (now - self.untold_us)) * self.lines_a_us
             if fleet.learning_us or self.channel.waiting + len(self.unbound) * a_bind > in_time:
                 self.due.update(i for i in fleet.index.values() if fleet.state[i] is not HostState.READY)
-                self.untold_us = None
+                self.untold_us, self.owed_us = None, now
 
     def long_gone(self) -> list[int]:  # hosts of which nothing is kept from here
         fleet, late = self.fleet, self.desk.now - self.KEEP_US
@@ -633,6 +633,7 @@
             back = self.fleet.state[i] is HostState.READY
             if back and not self.naming(i) and (self.fleet.cap[i] == NO_CAP or not self.unbound):
                 self.withdrawn.discard(i)
+                self.knows.pop(i, None)
                 self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
 
     def room(self, most_queued: float) -> float:  # for what can wait: a drain's message must always fit
@@ -648,8 +649,7 @@
         out = self.withdrawn, self.withdrawn | self.fleet.once  # lines more: for who is fresh, and is not
         for proxy in sorted(self.unbound, key=lambda p: (*self.unbound[p], p)) if filled else ():
             tables = [table for table in self.tables if table.held_in(self.zone_of[proxy])]
-            held = out[proxy in self.olds]
-            costs = [1 + len(t.pushed) + 2 * len(t.products) + len(t.pushed.keys() & held) for t in tables]
+            costs = [table.lines(out[proxy in self.olds]) for table in tables]
             needs = sum(costs) + self.channel.head
             # Guards against a table longer than binds may queue, which would never go; alone it does.
             if needs > self.room(max(most, min(needs, self.allowance))):
--- a/plankroute/steward.py
+++ b/plankroute/steward.py
@@ -98,6 +98,7 @@
             place = self.fleet.remove(host)
             for places in (self.publisher.withdrawn, self.publisher.due, self.fleet.once):
                 places.discard(place)
+            self.publisher.knows.pop(place, None)
             self.desk.out.append(orders.Forget(host))
 
     def on_timer(self, token: int) -> Beat | None:
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -1,5 +1,6 @@
 """Tables as they were last pushed, and who is on them; storage only, nothing here decides."""
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from typing import Any, NamedTuple
 
@@ -26,6 +27,10 @@
     def held_in(self, proxy_zone: int) -> bool:
         return self.proxy_zone in (None, proxy_zone)
 
+    def lines(self, held: set[int]) -> int:
+        """Of a bind to it: the hosts held back, or let back, are lines of their own."""
+        return 1 + len(self.pushed) + 2 * len(self.products) + len(self.pushed.keys() & held)
+
     def set(self, place: int, count: int) -> None:
         self.pushed[place] = count
         if not count:
@@ -51,6 +56,7 @@
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
         self.olds = set[int]()  # those that came on old tables, and may hold back what others held against it
+        self.knows: dict[int, set[int]] = {}  # by host that is gone, who was told so on the present stream
         self.broken: dict[int, int] = {}  # by proxy, when its stream ended, of late
 
     def join(self, note: notes.ProxyJoined) -> None:
@@ -61,6 +67,8 @@
     def leave(self, proxy: int) -> None:
         self.bound.discard(proxy)
         self.olds.discard(proxy)
+        for told in self.knows.values():
+            told.discard(proxy)
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
 
@@ -88,7 +96,15 @@
         """Lines that tell who is on a table that names the host, or may be on one."""
         if len(tables := self.naming(host)) > 1:
             return len(self.zone_of)
-        return len(self.unbound) + sum(len(self.users(table)) for table in tables)
+        untold = self.unbound.keys() - self.knows.get(host, set())
+        return len(untold) + sum(len(self.users(table)) for table in tables)
+
+    def tell(self, host: int, proxies: Iterable[int]) -> list[int]:
+        """Of the proxies, those that were not told on their present streams; they are from here on."""
+        knows = self.knows.setdefault(host, set())
+        new = [proxy for proxy in proxies if proxy not in knows]
+        knows.update(new)
+        return new
 
 
 def even_cap(rates: list[float], total: float) -> float | None:
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -702,7 +702,30 @@
     told = start_facts(steward=1, stewards=5, proxies=300, lines_per_s=500.0, queue_cap=40_000,
                        grace_us=12 * SECOND, bare_us=60 * SECOND, may_probe=False)
     bench = Bench(told, steward=Steward(told, 1))
-    bench.give(full(*[entry(100 + n, zone=n % 3, started_us=(bench.now - SECOND) * (n % 2)) for n in range(200)]))
+    new = bench.now - SECOND
+    bench.give(full(*[entry(100 + n, zone=n % 3, started_us=new * (n % 2)) for n in range(200)]))
     bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(60)])
     bench.pass_time(SECOND)
     assert 40 <= len(bench.lines[0]) <= 60
+
+
+def test_who_comes_from_elsewhere_is_told_of_the_newest_drains_at_once_and_of_each_once():
+    """Guards against the last drains of a steward that ended, which nobody told its proxies of in time."""
+    facts = start_facts(lines_per_s=800.0, queue_cap=6000, grace_us=4 * SECOND, way_us=100_000, proxies=60,
+                        may_probe=False)
+    bench = Bench(facts, steward=Steward(facts, 3))
+    bench.give(full(*[entry(100 + n, zone=n % 3) for n in range(120)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(4)])
+    bench.pass_time(5 * SECOND)
+    bench.give(changes(*[entry(host, DRAINING, zone=(host - 100) % 3) for host in range(150, 180)]))
+    bench.pass_time(2 * SECOND)
+    bench.give(changes(*[entry(host, DRAINING, zone=(host - 100) % 3) for host in range(100, 120)]))
+    bench.pass_time(SECOND // 5)
+    bench.log.clear()
+    for first in (10, 30):  # they come within a second, as another steward ends
+        bench.give(*[notes.ProxyJoined(proxy, proxy % 3, 10.0, False) for proxy in range(first, first + 20)])
+        bench.pass_time(SECOND // 2)
+    told = [order.host for order in bench.log if isinstance(order, orders.Withdraw) and order.out]
+    assert set(told[:20]) == set(range(100, 120))
+    publisher = bench.steward.publisher
+    assert publisher.unbound and all(publisher.knows[publisher.fleet.index[host]] for host in range(100, 120))
