The ring goes by a hash of names again; a part that would widen over a half is the whole

Cause: ranks move with every host that comes, so arcs move all the time in a fleet that grows; a widened arc of over half of the hosts saves little.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -14,6 +14,7 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import Any
+from zlib import crc32
 
 from plankroute.actors import Actor, Beat, Desk
 from plankroute.channel import Channel
@@ -235,10 +236,8 @@
 
     def silent(self) -> bool:  # while others spoke, and a host of its weight is tried often
         fleet, i = self.fleet, self.place
-        if i in fleet.aside:
-            return False
         per_us = fleet.tries_a_weight * fleet.counted(i) * LN_2 / MEMORY_US
-        return (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
+        return i not in fleet.aside and (fleet.last_us - fleet.heard_us[i]) * per_us > self.SILENT_TRIES
 
     def consider_return(self) -> None:  # after good probes in a row; where none may be sent, as many turns
         fleet, i = self.fleet, self.place
@@ -377,16 +376,16 @@
 
     def in_part(self, fleet: Fleet, able: list[int], part: float, start: float) -> list[int]:
         """An arc of a ring: stewards' arcs lie beside each other, so each host is in as many tables as any
-        other, and one that comes or goes moves the arc's ends alone; each zone's kinds are spread evenly."""
-        listed = sorted((i for i in fleet.ready() if self.admits(fleet, i)), key=lambda i: fleet.mark[i])
-        kins = grouped(listed, lambda i: (fleet.zone[i], fleet.kind[i]))  # the same at every steward
-        ring = [i for *_, i in sorted(((n + 0.5) / len(kin), k, i) for k, kin in enumerate(kins)
-                                      for n, i in enumerate(kin))]
+        other, and one that comes or goes moves the arc's two ends alone."""
+        listed = (i for i in fleet.ready() if self.admits(fleet, i))  # the same at every steward
+        ring = sorted(listed, key=lambda i: crc32(b"%d" % fleet.mark[i]))
         ring = ring[(at := int(start * len(ring))):] + ring[:at]
         open_to = set(able)
         warm = [i for i in ring if i in open_to and fleet.cap[i] == NO_CAP and not fleet.shut[i]]
-        if (most := max(self.LEAST_HOSTS, math.ceil(part * len(warm)))) >= len(warm):
-            return able
+        most, least = math.ceil(part * len(warm)), self.LEAST_HOSTS
+        if len(warm) < 2 * least > 2 * most or most >= len(warm):
+            return able  # widened to over a half it would save little
+        most = max(most, least)
         return sorted(open_to.intersection(ring[:ring.index(warm[most - 1]) + 1]))
 
     def slots(self, fleet: Fleet, out: set[int], part: float = 1.0, start: float = 0.0) -> dict[int, int]:
--- a/plankroute/figures.py
+++ b/plankroute/figures.py
@@ -17,7 +17,7 @@
         self.index: dict[int, int] = {}
         self.free: list[int] = []  # places of hosts that were removed: not ready, and in no index
         self.ids: list[int] = []
-        self.mark: list[int] = []  # the order of their names: the same at every steward
+        self.mark: list[int] = []  # from its name: the same at every steward
         # What the list says
         self.state: list[HostState] = []
         self.zone: list[int] = []
--- a/plankroute/net/directory.py
+++ b/plankroute/net/directory.py
@@ -23,7 +23,7 @@
 
 
 def mark_of(uid: str) -> int:
-    """Ordered as names are. Guards against a name that steers: of a hash the next letter would decide."""
+    """Of a host's name, the same at every steward, and ordered as names are."""
     return int.from_bytes(uid.encode("ascii")[:MARK_BYTES].ljust(MARK_BYTES, b"\0"))
 
 
