--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -14,7 +14,6 @@
 from collections import deque
 from collections.abc import Iterable, Iterator
 from typing import Any
-from zlib import crc32
 
 from plankroute.actors import Actor, Beat, Desk
 from plankroute.channel import Channel
@@ -376,9 +375,11 @@
 
     def in_part(self, fleet: Fleet, able: list[int], part: float, start: float) -> list[int]:
         """An arc of a ring: stewards' arcs lie beside each other, so each host is in as many tables as any
-        other, and one that comes or goes moves the arc's two ends alone."""
-        listed = (i for i in fleet.ready() if self.admits(fleet, i))  # the same at every steward
-        ring = sorted(listed, key=lambda i: crc32(b"%d" % fleet.mark[i]))
+        other, and one that comes or goes moves the arc's ends alone; each zone's kinds are spread evenly."""
+        listed = sorted((i for i in fleet.ready() if self.admits(fleet, i)), key=lambda i: fleet.mark[i])
+        kins = grouped(listed, lambda i: (fleet.zone[i], fleet.kind[i]))  # the same at every steward
+        ring = [i for *_, i in sorted(((n + 0.5) / len(kin), k, i) for k, kin in enumerate(kins)
+                                      for n, i in enumerate(kin))]
         ring = ring[(at := int(start * len(ring))):] + ring[:at]
         open_to = set(able)
         warm = [i for i in ring if i in open_to and fleet.cap[i] == NO_CAP and not fleet.shut[i]]
