Signals stay blocked while the loop's handlers give way at the end

Need: test_a_second_sigterm_does_not_spoil_the_exit failed once on a busy machine (status -15). Cause: remove_signal_handler sets the default before early.ignore follows. Change: the main thread blocks them first, the log's thread always (they are the loop's).

--- a/plankroute/net/book.py
+++ b/plankroute/net/book.py
@@ -1,6 +1,7 @@
 """Book: counters, and a log of one JSON line an event whose blocked reader never holds up the steward."""
 
 import os
+import signal
 import threading
 import time
 import traceback
@@ -41,6 +42,7 @@
         self.ready.set()
 
     def pass_on(self) -> None:
+        signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())  # they are the loop's thread's
         while True:
             self.ready.wait()
             self.ready.clear()
--- a/plankroute/net/service.py
+++ b/plankroute/net/service.py
@@ -176,6 +176,7 @@
 
 async def run_to_its_end(service: Service) -> None:
     await service.run()
+    signal.pthread_sigmask(signal.SIG_BLOCK, service.signals)  # while they have no handler, a moment each
     for number in service.signals:
         asyncio.get_running_loop().remove_signal_handler(number)
     early.ignore()
