Dead look-up of addresses goes; joins, binds and one long line read plainly again

Behaviour is unchanged: tests of decisions, net, messages and service pass; the whole suite was not run again.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -656,9 +656,9 @@
                 break
             del self.unbound[proxy]
             self.bound.add(proxy)
-            for table, cost in zip(tables, costs):
-                of = tuple(table.products) if len(self.tables) > 1 else None
-                self.order(orders.Bind(table.number, proxy, of), [proxy], cost)
+            for table, lines in zip(tables, costs):
+                products = tuple(table.products) if len(self.tables) > 1 else None
+                self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
 
     def close(self) -> None:  # marks what this batch wrote: the answers tell when it has left the channel
         self.desk.out += [orders.Mark(mark)] if (mark := self.channel.close()) else []
--- a/plankroute/interface/notes.py
+++ b/plankroute/interface/notes.py
@@ -41,8 +41,8 @@
 
 @dataclass(frozen=True, slots=True)
 class HostEntry:
-    """One host as the list has it; started_us is 0 where the start lies long ago. `mark`: hosts are ordered by
-    it as by their names, the same at every steward; 0: its id is."""
+    """One host as the list has it; started_us is 0 where the start lies long ago. `mark`: hosts are ordered
+    by it as by their names, the same at every steward; 0: its id is."""
 
     host: int
     state: HostState
--- a/plankroute/net/directory.py
+++ b/plankroute/net/directory.py
@@ -43,9 +43,6 @@
     def uid(self, host: int) -> str:
         return self.hosts[host].uid
 
-    def address(self, host: int) -> str:
-        return self.hosts[host].address
-
     def forget(self, host: int) -> None:
         del self.ids[self.hosts.pop(host).uid]
 
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -62,7 +62,8 @@
     def join(self, note: notes.ProxyJoined) -> None:
         self.zone_of[note.proxy] = note.zone
         self.unbound[note.proxy] = (not note.fresh, -note.usual_rate)
-        self.olds |= {note.proxy} if not note.fresh else set()
+        if not note.fresh:
+            self.olds.add(note.proxy)
 
     def leave(self, proxy: int) -> None:
         self.bound.discard(proxy)
