The channel's queue is bounded by what is unanswered, from above and below

Excluded: wrong marks (acknowledged lines per second add up to what was charged).

At fault: Channel.pass_time, which lets lines leave at the stated pace whatever is acknowledged, and never takes off lines of streams that have ended.

Change: what is queued is at most what is unanswered, and at least what is unanswered beyond all that can be in flight.

--- a/plankroute/channel.py
+++ b/plankroute/channel.py
@@ -6,9 +6,11 @@
 class Channel:
     """Messages leave one behind another, so an answer to a mark tells of all written before it."""
 
-    def __init__(self, head_lines: int, lines_a_us: float) -> None:
+    def __init__(self, head_lines: int, lines_a_us: float, answer_us: float) -> None:
+        """`answer_us`: the longest time from a message's leaving the channel to its answer."""
         self.head, self.serial, self.waiting = head_lines + 1, 0, 0  # each message has a mark's line too
         self.lines_a_us, self.queued, self.at = lines_a_us, 0.0, 0
+        self.most_in_flight = lines_a_us * answer_us
         self.sent: dict[int, dict[int, int]] = {}  # by mark, the oldest first: lines to each proxy
         self.batch: dict[int, int] = {}  # lines of this batch's message to each proxy
 
@@ -20,8 +22,13 @@
             self.queued += lines if before else lines + self.head
 
     def pass_time(self, now: int) -> None:
-        """`queued` has not left at the regular pace; `waiting`, which is certain, holds what travels too."""
-        self.queued = max(0.0, self.queued - (now - self.at) * self.lines_a_us)
+        """Estimates `queued`, the lines that have not left yet; `waiting` holds those in flight as well.
+
+        They leave at the regular pace. Two bounds correct that: lines of streams that ended are lost and wait
+        no longer, and what is not answered beyond all that can be in flight has not left a slow channel.
+        """
+        left = self.queued - (now - self.at) * self.lines_a_us
+        self.queued = min(self.waiting, max(left, self.waiting - self.most_in_flight, 0.0))
         self.at = now
 
     def close(self) -> int | None:
--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -444,7 +444,7 @@
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
         super().__init__(desk, [] if facts.slices else tables_for(facts))  # the store keeps those of slices
         self.fleet, self.limit, self.lines_a_us = fleet, facts.queue_cap, facts.lines_per_s / SECOND_US
-        self.channel = Channel(facts.head_lines, self.lines_a_us)
+        self.channel = Channel(facts.head_lines, self.lines_a_us, facts.way_most_us + self.PULSE_US)
         self.spare_us = max(0, facts.grace_us - facts.way_most_us)
         in_time = self.spare_us * self.lines_a_us
         self.allowance = min(self.ORDINARY_PART * self.limit, self.GRACE_PART * in_time)
