Subsets are as large as can be bound in time; first weights wait no longer than that

A line a turn of the core's view: a controller that starts again is handed the present list, so hosts that went before are in no list of its own; 49 proxies join at 28.2 s, "gone 0, withdrawn 0", and none is bound before 33.4 s: binds wait 5 s for first weights, the grace is 4.5 s. (3) valle's herd: a controller that gets all 1,440 proxies widens its table from 28 to 115 hosts, a line at each of the 554 proxies on it for each host, while 775 wait to be bound at 115 lines each. Excluded: late withdrawals (hosts it knows are told in time), a slow channel.

At fault: Balancer.WAIT_US whatever the grace is; Publisher.part, whole until 12 s and wider with the share of proxies.

Change: a subset holds as many hosts as an even share of the proxies can be bound to in 3 s, or in 0.75 of what the grace leaves if that is less, and at least an even share of the hosts; it does not follow the proxies that come. First weights are waited for at most until these binds would no longer fit. The channel's books and what is written by them move to the registry, which decides nothing.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -36,8 +36,9 @@
         super().__init__()
         self.cold_us, self.cold_share, self.may_probe = facts.cold_us, facts.cold_share, facts.may_probe
         self.probe_always = facts.may_probe and facts.reports is ReportWay.PROBES  # reports come no other way
-        sla_us = [product.sla_us for product in facts.products]
-        self.sla_us = max(1.0, sum(sla_us) / max(1, len(sla_us)))  # a voided txn counts as so long
+        sla_us = sum(product.sla_us for product in facts.products) / max(1, len(facts.products))
+        self.sla_us = max(1.0, sla_us)  # a voided txn counts as so long
+        self.learn_most_us = 0.0  # how long binds may wait for first weights
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
         self.best_part = 0.0  # voided by the best third
         self.able = self.entering = self.last_us = self.alarm_us = 0
@@ -264,7 +265,7 @@
     PROBED_US = SECOND_US // 4  # a probe that takes longer tells nothing of speed
     OWN_LEAST, OWN_MOST = 0.7, 1.4  # of its kind's: single probes are off by twice, some answer at once
     SHUNNED = 0.3  # of the mean tries that old tables bring a host: less, and who wrote them shunned it
-    ENOUGH, WAIT_US, SETTLED = 8.0, 5 * SECOND_US, 6  # tries a host, and time, to take over; its turn by then
+    ENOUGH, SETTLED = 8.0, 6  # tries a host to take over; its turn by then
 
     def __init__(self, desk: Desk, fleet: Fleet, tables: list["Table"]) -> None:
         super().__init__(desk)
@@ -310,7 +311,7 @@
     def take_over(self, playing: list[int]) -> None:
         """Guards against even weights: old tables show in the tries they bring, speed in the first probes."""
         fleet, waited = self.fleet, self.desk.now - self.fleet.learning_us
-        shown, wait_us = (fleet.tries, self.WAIT_US) if fleet.old else (fleet.speed, self.PROBED_US)
+        shown, wait_us = (fleet.tries, fleet.learn_most_us) if fleet.old else (fleet.speed, self.PROBED_US)
         mean = sum(shown[i] for i in playing) / len(playing) or 1.0
         if waited > wait_us or (mean >= self.ENOUGH if fleet.old else all(shown[i] for i in playing)):
             fleet.learning_us, self.turns = None, self.SETTLED * fleet.old
@@ -431,9 +432,10 @@
     URGE = 6.0  # of the SLA time; guards against a channel busy all day with the small moves of a calm fleet
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
+    LEARN_US = 5 * SECOND_US  # for first weights, if binds then still fit the grace: old tables name hosts gone
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
-    PART_FROM_US = 12 * SECOND_US  # for all binds: until then proxies go by tables that nobody steers
-    MORE, STEPS = 1.5, 8  # times its even share of proxies, and steps: a table is not to follow each stream
+    BIND_US = 3 * SECOND_US  # for all binds: until then proxies go by tables that nobody steers
+    STEPS = 8  # of a subset's size: it is not to follow each host that comes or goes
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     LOST = 0.1  # of a zone's hosts: the few of a standing table, drawn from it, may all be among them
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
@@ -442,12 +444,13 @@
     RETRY = orders.Retry.UNRUN
 
     def __init__(self, desk: Desk, fleet: Fleet, facts: StartFacts) -> None:
-        super().__init__(desk, [] if facts.slices else tables_for(facts))  # the store keeps those of slices
-        self.fleet, self.limit, self.lines_a_us = fleet, facts.queue_cap, facts.lines_per_s / SECOND_US
-        self.channel = Channel(facts.head_lines, self.lines_a_us, facts.way_most_us + self.PULSE_US)
+        self.lines_a_us, tables = facts.lines_per_s / SECOND_US, tables_for(facts)
+        channel = Channel(facts.head_lines, self.lines_a_us, facts.way_most_us + self.PULSE_US)
+        super().__init__(desk, [] if facts.slices else tables, channel)  # the store keeps those of slices
+        self.fleet, self.limit = fleet, facts.queue_cap
         self.spare_us = max(0, facts.grace_us - facts.way_most_us)
-        in_time = self.spare_us * self.lines_a_us
-        self.allowance = min(self.ORDINARY_PART * self.limit, self.GRACE_PART * in_time)
+        in_grace = self.GRACE_PART * self.spare_us * self.lines_a_us
+        self.allowance = min(self.ORDINARY_PART * self.limit, in_grace)
         self.round = (2 * self.PULSE_US + 2 * facts.way_us) * self.lines_a_us  # lines
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
@@ -480,6 +483,8 @@
                     self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
                     learns = self.fleet.old or self.fleet.may_probe and not sized
                     self.fleet.learning_us = self.desk.now if learns else None
+                    left_us = self.spare_us - self.bind_us(self.subset_share())
+                    self.fleet.learn_most_us = min(self.LEARN_US, left_us)
                     self.desk.out += self.fleet.probes(self.fleet.playing() if learns and note.fresh else ())
             case notes.ProxyLeft():
                 self.leave(note.proxy)
@@ -496,10 +501,6 @@
                 self.write(note is Beat.TURN)
                 self.bind_waiting()
 
-    def leave(self, proxy: int) -> None:
-        super().leave(proxy)
-        self.channel.left(proxy)
-
     def count_broken(self, proxy: int) -> None:  # together they may tell of a cut, before sums: all are asked
         fleet, now = self.fleet, self.desk.now
         broken = self.broken_since(proxy, now, SECOND_US)
@@ -507,10 +508,6 @@
             fleet.alarm_us = now
             self.desk.out += fleet.probes(fleet.playing())
 
-    def order(self, order: orders.Order, proxies: Iterable[int], lines: int = 1) -> None:
-        self.desk.out.append(order)
-        self.channel.charge(proxies, lines)
-
     def write(self, turn: bool) -> None:
         """What the rules demand as soon as a message can go; the rest in the turns that can afford it."""
         fleet, joined, heads = self.fleet, len(self.zone_of), len(self.zone_of) * self.channel.head
@@ -536,24 +533,24 @@
         if self.channel.batch:
             self.written_us = self.desk.now
 
-    def part(self) -> float:
-        """Of the hosts that a table holds: all, unless to bind this steward's proxies takes too long; then as
-        much as these are of all: who has more of them, since another steward is gone, serves more hosts."""
-        share, even = len(self.zone_of) / max(1, self.proxies), 1 / self.stewards
-        lines = max(share, even) * self.proxies * (len(self.fleet.ready()) + self.channel.head)
-        if lines < self.PART_FROM_US * self.lines_a_us:
-            return 1.0
-        return even if share < self.MORE * even else min(1.0, math.ceil(self.STEPS * share) / self.STEPS)
+    def subset_share(self) -> float:
+        """Of the hosts that a table holds: as many as an even share of proxies can be bound to in time."""
+        in_time = min(self.BIND_US, self.IN_TIME * self.spare_us) / max(1.0, self.bind_us(1.0))
+        return max(1 / self.stewards, min(1.0, math.ceil(self.STEPS * in_time) / self.STEPS))
+
+    def bind_us(self, part: float) -> float:  # to bind an even share of all proxies to this part of the hosts
+        lines = part * len(self.fleet.ready()) + self.channel.head
+        return self.proxies / self.stewards * lines / self.lines_a_us
 
     def all_slots(self) -> list[dict[int, int]]:
         """As found last, while nothing that they follow from has moved: ten looks a second, one turn."""
-        fleet, out, part = self.fleet, self.withdrawn | self.due, [self.part()]
-        seen: list[Any] = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, out, part]
-        seen += [fleet.state, fleet.zone, fleet.kind, *(table.pushed for table in self.tables)]
+        fleet, out = self.fleet, self.withdrawn | self.due
+        seen: list[Any] = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, fleet.state, fleet.zone]
+        seen += [fleet.kind, out, *(table.pushed for table in self.tables)]
         if seen != self.seen:
-            self.seen = [figures.copy() for figures in seen]
-            self.found = [table.slots(fleet, out, part[0], self.start) for table in self.tables]
-            fleet.aside = set(fleet.ready()).difference(*self.found) if part[0] < 1 else set()
+            self.seen, part = [figures.copy() for figures in seen], self.subset_share()
+            self.found = [table.slots(fleet, out, part, self.start) for table in self.tables]
+            fleet.aside = set(fleet.ready()).difference(*self.found) if part < 1 else set()
         return self.found
 
     def changes(self) -> Iterator[Change]:  # worth more where a slot is to fall: txns there are late already
@@ -660,9 +657,6 @@
                 products = tuple(table.products) if len(self.tables) > 1 else None
                 self.order(orders.Bind(table.number, proxy, products), [proxy], lines)
 
-    def close(self) -> None:  # marks what this batch wrote: the answers tell when it has left the channel
-        self.desk.out += [orders.Mark(mark)] if (mark := self.channel.close()) else []
-
 
 class Levels(Actor):
     """Declines early while answers are late, table by table; lets in no less than is settled just now."""
--- a/plankroute/tables.py
+++ b/plankroute/tables.py
@@ -5,8 +5,9 @@
 from typing import Any, NamedTuple
 
 from plankroute.actors import Actor, Desk
+from plankroute.channel import Channel
 from plankroute.figures import Figures
-from plankroute.interface import notes
+from plankroute.interface import notes, orders
 
 
 @dataclass(eq=False, slots=True)
@@ -48,11 +49,11 @@
 
 
 class Roll(Actor):
-    """Joined proxies, those on the tables and those that wait to be bound, and the tables."""
+    """Joined proxies, those on the tables and those that wait to be bound, the tables, and the channel."""
 
-    def __init__(self, desk: Desk, tables: list[Any]) -> None:
+    def __init__(self, desk: Desk, tables: list[Any], channel: Channel) -> None:
         super().__init__(desk)
-        self.tables = tables
+        self.tables, self.channel = tables, channel
         self.zone_of, self.bound = dict[int, int](), set[int]()  # joined proxies; those on the tables
         self.unbound: dict[int, tuple[bool, float]] = {}  # the others: on old tables? rate
         self.olds = set[int]()  # those that came on old tables, and may hold back what others held against it
@@ -72,6 +73,7 @@
             told.discard(proxy)
         self.zone_of.pop(proxy, None)
         self.unbound.pop(proxy, None)
+        self.channel.left(proxy)
 
     def fresh_zones(self) -> set[int]:
         """Of those who wait on the tables that they began with."""
@@ -90,6 +92,16 @@
         users, is_first = self.users(table), place in once and place not in table.pushed
         return users + [proxy for proxy in users if is_first and proxy in self.olds]
 
+    def order(self, order: orders.Order, proxies: Iterable[int], lines: int = 1) -> None:
+        """Gives the order out; each of the proxies is written so many lines for it."""
+        self.desk.out.append(order)
+        self.channel.charge(proxies, lines)
+
+    def close(self) -> None:
+        """Marks what this batch wrote: the answers tell when it has left the channel."""
+        if mark := self.channel.close():
+            self.desk.out.append(orders.Mark(mark))
+
     def naming(self, host: int) -> list[Any]:
         return [table for table in self.tables if host in table.pushed]
 
