Urgent orders wait a turn at most; returns have room; a moving subset gives up nobody first

(2) The table shrinks to 10 as its subset moves on: hosts that it left go at once as urgent, those that it got wait as ordinary lines.

At fault: Publisher.most_gap_us (grace / 3 at any grace), Publisher.changes (urgent where a slot goes, whatever the reason), Publisher.lift (no look at the channel).

Change: gathers for a turn at most; a slot that goes because the subset moved on is ordinary; hosts are let back as the ordinary room allows.

Three tests, each seen failing without its part.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -455,7 +455,7 @@
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
-        most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
+        most, self.most_gap_us = facts.messages_most, min(facts.grace_us / 3, Balancer.TURN_US)
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = self.owed_us = -facts.messages_window_us
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
@@ -567,7 +567,7 @@
                     fallen = fleet.cap[i] < NO_CAP and count < self.FALLEN * before
                     strain = max(1.0, before / max(1, count)) if before else self.NEW
                     worth = urge * (count - before) ** 2 / max(count, before) * part * strain
-                    urgent = bare or fallen or not count
+                    urgent = bare or fallen or (not count and i not in fleet.aside)
                     if i in self.withdrawn:  # nobody sends there: last, sooner if it is back or long gone
                         back, late = fleet.state[i] is HostState.READY, self.desk.now - fleet.heard_us[i]
                         worth, urgent = worth * back or float(2 * late > self.KEEP_US), bare and back
@@ -627,8 +627,9 @@
     def lift(self) -> None:
         """Once no table names it; a cold host stays out while proxies on older tables may name it too."""
         for i in sorted(self.withdrawn):
-            back = self.fleet.state[i] is HostState.READY
-            if back and not self.naming(i) and (self.fleet.cap[i] == NO_CAP or not self.unbound):
+            fits = len(self.unbound) * (self.channel.head + 1) <= self.room(self.allowance)
+            back = self.fleet.state[i] is HostState.READY and not self.naming(i) and fits
+            if back and (self.fleet.cap[i] == NO_CAP or not self.unbound):
                 self.withdrawn.discard(i)
                 self.knows.pop(i, None)
                 self.order(orders.Withdraw(self.fleet.ids[i], False), self.unbound)
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -765,3 +765,50 @@
     assert set(told[:20]) == set(range(100, 120))
     publisher = bench.steward.publisher
     assert publisher.unbound and all(publisher.knows[publisher.fleet.index[host]] for host in range(100, 120))
+
+
+def test_hosts_that_return_are_let_back_only_as_the_channel_has_room():
+    """Guards against a channel filled past its cap: a zone returns while hundreds of proxies wait."""
+    facts = start_facts(proxies=100, queue_cap=1500, lines_per_s=1000.0, grace_us=20 * SECOND,
+                        bare_us=60 * SECOND, may_probe=False)
+    bench = Bench(facts, steward=Steward(facts, 3))
+    bench.give(full(*[entry(100 + n, zone=n % 3) for n in range(60)]))
+    bench.give(*[notes.ProxyJoined(0, 0, 10.0, True)])
+    bench.pass_time(SECOND)
+    zone = range(100, 160, 3)
+    bench.give(changes(*[entry(host, GONE) for host in zone]))
+    publisher = bench.steward.publisher
+    publisher.IN_TIME = 0.0  # as if binds took too long: who joins is told of drains
+    bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, False) for p in range(1, 100)])
+    bench.pass_time(3 * SECOND)
+    assert publisher.unbound and publisher.withdrawn
+    bench.give(changes(*[entry(host) for host in zone]))
+    bench.pass_time(SECOND)  # the bench objects to a queue past its cap
+
+
+def test_a_busy_channel_holds_up_what_is_urgent_for_a_turn_at_most():
+    """Guards against hosts that stay in the tables for a third of a long grace after they were found bad."""
+    facts = start_facts(proxies=100, queue_cap=40_000, grace_us=30 * SECOND, bare_us=60 * SECOND)
+    bench = Bench(facts)
+    bench.give(full(*[entry(100 + i, zone=i % 3) for i in range(60)]))
+    bench.give(*[notes.ProxyJoined(p, p % 3, 5.0, True) for p in range(100)])
+    bench.pass_time(8 * SECOND)
+    publisher = bench.steward.publisher
+    publisher.round, publisher.written_us = 0.0, bench.now  # as if it had just written, and more still waits
+    publisher.channel.charge([0], 1)
+    bench.steward.fleet.shut[0] = True
+    bench.pass_time(SECOND // 2)
+    assert 100 in bench.lines[0]
+    bench.pass_time(SECOND)
+    assert 100 not in bench.lines[0]
+
+
+def test_a_subset_that_moves_on_gives_up_no_host_before_others_stand_in():
+    """Guards against tables of a few hosts: those that it left went at once, those that it got came later."""
+    bench = parts_of(4, 200, 60)[0]
+    fleet, publisher = bench.steward.fleet, bench.steward.publisher
+    before = set(bench.lines[0])
+    publisher.start, publisher.seen = 0.1, []  # as if warm hosts had come and gone beside it
+    left = [change for change in publisher.changes() if not change.count]
+    assert 10 < len(left) < 30 and {fleet.ids[change.place] for change in left} < before
+    assert not any(change.urgent for change in left)
