--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -455,7 +455,7 @@
         self.bind_allowance = min(self.allowance * self.BIND_PART, self.round)
         a_second = max(1.0, facts.lines_per_s * facts.stewards)  # lines, of all stewards
         self.line_price = facts.prices.order * facts.proxies / a_second * SECOND_US / self.WORTH_US
-        most, self.most_gap_us = facts.messages_most, min(facts.grace_us / 3, Balancer.TURN_US)
+        most, self.most_gap_us = facts.messages_most, facts.grace_us / 3
         self.least_gap_us = facts.messages_window_us / max(1, most - 1) if most else 0.0
         self.written_us = self.told_us = self.owed_us = -facts.messages_window_us
         self.withdrawn, self.due, self.refused = set[int](), set[int](), False  # hosts; those to take out yet
@@ -517,10 +517,12 @@
         # A busy channel gathers orders under fewer heads; first drains go at once, refused ones when all fit.
         fits = self.refused and sum(map(self.gone_lines, self.due)) <= room
         at_once = fits or (self.due and self.desk.now - self.told_us >= self.most_gap_us)
-        busy = self.channel.waiting > self.round and since < self.most_gap_us
+        changes = sorted(self.changes(), key=lambda change: (-change.worth, change.place))
+        shut = any(change.urgent and fleet.shut[change.place] for change in changes)  # not longer than a turn
+        gap_us = min(self.most_gap_us, Balancer.TURN_US) if shut else self.most_gap_us
+        busy = self.channel.waiting > self.round and since < gap_us
         if since < self.least_gap_us or (busy and not at_once):
             return
-        changes = sorted(self.changes(), key=lambda change: (-change.worth, change.place))
         for host in sorted(self.due, key=lambda i: (not self.naming(i), -fleet.heard_us[i], i)):
             self.told_us = self.desk.now
             room -= self.tell_gone(host, room)
