Binds take half of what the grace leaves, and first weights wait only for twice that

Excluded: lines held by slots (the ordinary queue is empty by then), a slow channel (2,000 lines a second leave).

At fault: Publisher.subset_share and the wait for first weights, which plan the whole of what the grace leaves for exactly an even share.

Change: half of it for binds; first weights are waited for only while twice the binds still fit.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -434,7 +434,7 @@
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     LEARN_US = 5 * SECOND_US  # for first weights, if binds then still fit the grace: old tables name hosts gone
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
-    BIND_US = 3 * SECOND_US  # for all binds: until then proxies go by tables that nobody steers
+    BIND_US, BIND_SHARE = 3 * SECOND_US, 0.5  # for all binds, of the grace: old tables until then
     STEPS = 8  # of a subset's size: it is not to follow each host that comes or goes
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     LOST = 0.1  # of a zone's hosts: the few of a standing table, drawn from it, may all be among them
@@ -483,7 +483,7 @@
                     self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
                     learns = self.fleet.old or self.fleet.may_probe and not sized
                     self.fleet.learning_us = self.desk.now if learns else None
-                    left_us = self.spare_us - self.bind_us(self.subset_share())
+                    left_us = self.spare_us - 2 * self.bind_us(self.subset_share())  # others may join too
                     self.fleet.learn_most_us = min(self.LEARN_US, left_us)
                     self.desk.out += self.fleet.probes(self.fleet.playing() if learns and note.fresh else ())
             case notes.ProxyLeft():
@@ -537,7 +537,7 @@
 
     def subset_share(self) -> float:
         """Of the hosts that a table holds: as many as an even share of proxies can be bound to in time."""
-        in_time = min(self.BIND_US, self.IN_TIME * self.spare_us) / max(1.0, self.bind_us(1.0))
+        in_time = min(self.BIND_US, self.BIND_SHARE * self.spare_us) / max(1.0, self.bind_us(1.0))
         return max(1 / self.stewards, min(1.0, math.ceil(self.STEPS * in_time) / self.STEPS))
 
     def bind_us(self, part: float) -> float:  # to bind an even share of all proxies to this part of the hosts
