Subsets are whole shares of the hosts, and two controllers keep whole tables

(2) Subsets of three eighths with starts a fifth apart: each host is in one or two tables.

At fault: Publisher.subset_share (eighths; an even share where two controllers run).

Change: as many whole shares as can be bound in time; no subsets for two controllers.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -432,10 +432,9 @@
     URGE = 6.0  # of the SLA time; guards against a channel busy all day with the small moves of a calm fleet
     NEW = 4.0  # times a slot's worth for a host without any: the others carry its txns
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
-    LEARN_US = 5 * SECOND_US  # for first weights, if binds then still fit the grace: old tables name hosts gone
+    LEARN_US = 5 * SECOND_US  # for first weights, if binds then fit the grace: old tables name lost hosts
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
     BIND_US, BIND_SHARE = 3 * SECOND_US, 0.5  # for all binds, of the grace: old tables until then
-    STEPS = 8  # of a subset's size: it is not to follow each host that comes or goes
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     LOST = 0.1  # of a zone's hosts: the few of a standing table, drawn from it, may all be among them
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
@@ -536,9 +535,11 @@
             self.written_us = self.desk.now
 
     def subset_share(self) -> float:
-        """Of the hosts that a table holds: as many as an even share of proxies can be bound to in time."""
+        """Of the hosts that a table holds: as many as an even share of proxies can be bound to in time, in whole
+        shares of a controller, so that each host is in as many tables; of two, either may be left alone."""
         in_time = min(self.BIND_US, self.BIND_SHARE * self.spare_us) / max(1.0, self.bind_us(1.0))
-        return max(1 / self.stewards, min(1.0, math.ceil(self.STEPS * in_time) / self.STEPS))
+        shares = max(1, math.ceil(in_time * self.stewards))
+        return min(1.0, shares / self.stewards) if self.stewards > 2 else 1.0
 
     def bind_us(self, part: float) -> float:  # to bind an even share of all proxies to this part of the hosts
         lines = part * len(self.fleet.ready()) + self.channel.head
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -569,6 +569,23 @@
     assert sizes == {12: 100, 3: 50}  # of 200 hosts: 3 s, and 1.3 s, of 60 proxies' lines
 
 
+def test_subsets_are_whole_shares_so_that_each_host_is_in_as_many_tables():
+    """Guards against hosts that stand in two controllers' tables beside others that stand in one."""
+    sizes = {}
+    for stewards, lines_per_s in ((5, 2000.0), (2, 500.0)):
+        held: list[int] = []
+        for rank in range(stewards):
+            told = start_facts(steward=rank, stewards=stewards, proxies=stewards * 60, lines_per_s=lines_per_s,
+                               queue_cap=40_000, grace_us=12 * SECOND, bare_us=60 * SECOND, may_probe=False)
+            bench = Bench(told, steward=Steward(told, rank))
+            bench.give(full(*[entry(100 + n, zone=n % 3) for n in range(200)]))
+            bench.give(*[notes.ProxyJoined(p, p % 3, 10.0, True) for p in range(4)])
+            bench.pass_time(SECOND)
+            held += bench.lines[0]
+        sizes[stewards] = {held.count(host) for host in range(100, 300)}
+    assert sizes == {5: {3}, 2: {2}}  # of two, either may be left with all proxies: no subsets
+
+
 @pytest.mark.parametrize("grace_s", [2, 4, 30])
 def test_after_a_restart_proxies_are_bound_within_the_grace_whatever_they_bring(grace_s):
     """Guards against hosts that were gone before the restart: nobody tells of them any more, so tables that
