First weights go by medians of the probes that were answered in time

Two hundred probes two milliseconds apart are not all answered in the quarter second that binds wait: where most of a kind had not answered its median was 0 and the mean stood in for it, and the mean is one over the shortest time, by a host or two that seem to answer at once. Excluded: kinds that differ (with 30 nodes the medians are 5, 8 and 10 ms).

At fault: Balancer.take_over, `usual ... or mean` and `usual / mean`.

Change: a kind counts by the median of its answered probes over the fleet's; a kind nobody of which answered counts as usual.

The test is seen failing with the old lines.

--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -13,6 +13,7 @@
 import math
 from collections import deque
 from collections.abc import Iterable, Iterator
+from statistics import median
 from typing import Any
 
 from plankroute.actors import Actor, Beat, Desk
@@ -36,11 +37,10 @@
         super().__init__()
         self.cold_us, self.cold_share, self.may_probe = facts.cold_us, facts.cold_share, facts.may_probe
         self.probe_always = facts.may_probe and facts.reports is ReportWay.PROBES  # reports come no other way
-        sla_us = sum(product.sla_us for product in facts.products) / max(1, len(facts.products))
-        self.sla_us = max(1.0, sla_us)  # a voided txn counts as so long
-        self.learn_most_us = 0.0  # how long binds may wait for first weights
+        sla_us = [product.sla_us for product in facts.products] or [1]
+        self.sla_us = max(1.0, sum(sla_us) / len(sla_us))  # a voided txn counts as so long
         self.voided_part = self.time_part = self.tries_a_weight = self.crowding = 0.0  # over all listed ready
-        self.best_part = 0.0  # voided by the best third
+        self.best_part = self.learn_most_us = 0.0  # voided by the best third; binds' longest wait for weights
         self.able = self.entering = self.last_us = self.alarm_us = 0
         self.learning_us: int | None = 0  # 0: nobody joined yet; since when binds wait for weights; None: not
         self.old = False  # those who wait hold tables that another steward, or an earlier life, has taught
@@ -318,17 +318,17 @@
             for i in list(fleet.told) if fleet.old else ():  # old tables show who was shunned
                 fleet.judge(i, shown[i] < self.SHUNNED * mean)
             playing = fleet.playing()
+            typical = median([shown[i] for i in playing if shown[i]] or [1.0])
             for kin in grouped(playing, lambda i: fleet.kind[i]):
-                usual = sorted(shown[i] for i in kin)[len(kin) // 2] or mean
+                usual = median([shown[i] for i in kin if shown[i]] or [typical])  # not all answer in time
                 kind = (sum(shown[i] for i in kin) + self.PRIOR_TRIES) / (mean * len(kin) + self.PRIOR_TRIES)
                 for i in kin:
                     fleet.standing[i] = 0.0  # no slot holds the weight back
-                    own = max(self.OWN_LEAST, min(self.OWN_MOST, (shown[i] / usual) ** 0.5)) * usual / mean
+                    own = max(self.OWN_LEAST, min(self.OWN_MOST, (shown[i] / usual) ** 0.5)) * usual / typical
                     by_tries = kind * (shown[i] + self.PRIOR_TRIES) / (kind * mean + self.PRIOR_TRIES)
                     fleet.weight[i] = by_tries if fleet.old else own
                     if i in fleet.told:  # beside old tables it may only lower a weight
-                        least = fleet.weight[i] if fleet.old else NO_CAP
-                        fleet.weight[i] = min(fleet.told[i], least)
+                        fleet.weight[i] = min(fleet.told[i], fleet.weight[i] if fleet.old else NO_CAP)
             fleet.rescale(playing)
 
     def fills(self, playing: list[int]) -> dict[int, float]:
@@ -482,8 +482,8 @@
                     self.fleet.old, sized = not note.fresh, len(set(self.fleet.listed)) > 1
                     learns = self.fleet.old or self.fleet.may_probe and not sized
                     self.fleet.learning_us = self.desk.now if learns else None
-                    left_us = self.spare_us - 2 * self.bind_us(self.subset_share())  # others may join too
-                    self.fleet.learn_most_us = min(self.LEARN_US, left_us)
+                    binds_us = 2 * self.bind_us(self.subset_share())  # others may join too
+                    self.fleet.learn_most_us = min(self.LEARN_US, self.spare_us - binds_us)
                     self.desk.out += self.fleet.probes(self.fleet.playing() if learns and note.fresh else ())
             case notes.ProxyLeft():
                 self.leave(note.proxy)
@@ -535,8 +535,8 @@
             self.written_us = self.desk.now
 
     def subset_share(self) -> float:
-        """Of the hosts that a table holds: as many as an even share of proxies can be bound to in time, in whole
-        shares of a controller, so that each host is in as many tables; of two, either may be left alone."""
+        """Of the hosts that a table holds: as many as an even share of proxies can be bound to in time; whole
+        shares, so that each host is in as many tables; all for two controllers: either may be left alone."""
         in_time = min(self.BIND_US, self.BIND_SHARE * self.spare_us) / max(1.0, self.bind_us(1.0))
         shares = max(1, math.ceil(in_time * self.stewards))
         return min(1.0, shares / self.stewards) if self.stewards > 2 else 1.0
@@ -548,8 +548,8 @@
     def all_slots(self) -> list[dict[int, int]]:
         """As found last, while nothing that they follow from has moved: ten looks a second, one turn."""
         fleet, out = self.fleet, self.withdrawn | self.due
-        seen: list[Any] = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, fleet.state, fleet.zone]
-        seen += [fleet.kind, out, *(table.pushed for table in self.tables)]
+        seen = [fleet.weight, fleet.cap, fleet.shut, fleet.cut, fleet.state, fleet.zone, fleet.kind, out]
+        seen += [table.pushed for table in self.tables]
         if seen != self.seen:
             self.seen, part = [figures.copy() for figures in seen], self.subset_share()
             self.found = [table.slots(fleet, out, part, self.start) for table in self.tables]
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -352,6 +352,19 @@
     assert bench.bound and 0 < bench.lines[0][100] < bench.lines[0][101]
 
 
+def test_first_weights_go_by_the_probes_that_were_answered_in_time():
+    """Guards against a kind that counts hundreds of times as much: one host answers at once, and of another
+    kind fewer than half have answered when binds can wait no longer."""
+    bench = Bench(start_facts())
+    bench.give(full(*[entry(100 + i, kind=i % 2) for i in range(20)]))
+    bench.give(notes.ProxyJoined(0, 0, 10.0, True))
+    took = {host: 10_000 for host in range(100, 120) if host % 2 == 0 or host < 108} | {100: 1}
+    bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, took[host], None) for host in took])
+    bench.pass_time(SECOND // 2)
+    lines = bench.lines[0]
+    assert len(lines) == 20 and max(lines.values()) <= 2 * min(lines.values())
+
+
 def test_a_steward_that_hears_too_little_to_take_over_does_not_wait_for_good():
     bench = Bench(start_facts())
     bench.give(full(entry(100), entry(101)), notes.ProxyJoined(0, 0, 1.0, False))
