Cold-start cases use the heartbeat frame's new name

At fault: that rename, whose tests were run by parts. All modules import now, and a static look for undefined names (pyflakes) finds none.

--- a/plankroute/lab/coldcases.py
+++ b/plankroute/lab/coldcases.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from plankroute.coldstart.follow import ranked
-from plankroute.coldstart.frames import VERSION, Tick, Begin, Hello, Part, write_frame
+from plankroute.coldstart.frames import VERSION, Begin, Heartbeat, Hello, Part, write_frame
 from plankroute.lab.cold import Case, ColdStart
 from plankroute.lab.coldload import ColdFacts
 from plankroute.lab.faults import SECOND, Act, Rule, Script, Step, partition, pauses
@@ -274,9 +274,9 @@
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.number += 1
         kinds: list[list[bytes]] = [
-            [write_frame(Tick(10**9, 0)), write_frame(Begin(10**9, True, 10**9, 1))],
+            [write_frame(Heartbeat(10**9, 0)), write_frame(Begin(10**9, True, 10**9, 1))],
             [write_frame(Begin(5, False, 10, 7)), write_frame(Part(b"x" * 11))],
-            [write_frame(Tick(3, 0))],
+            [write_frame(Heartbeat(3, 0))],
             [write_frame(Hello(VERSION, "lab", "x", 1, True)), b"\xff\xff\xff\xff"],
         ]
         try:
