--- a/plankroute/decide.py
+++ b/plankroute/decide.py
@@ -15,13 +15,13 @@
 from statistics import fmean, median
 from typing import Any
 
-from plankroute.controller.scheduler import Actor, Tick, Scheduler
 from plankroute.controller.channel import Channel
 from plankroute.controller.host_statistics import NO_CAP, HostStatistics, grouped
+from plankroute.controller.registry import Change, ProxyRegistry, Pushed, even_cap, in_whole
+from plankroute.controller.scheduler import Actor, Scheduler, Tick
 from plankroute.interface import notes, orders
 from plankroute.interface.facts import LevelUnit, ReportWay, StartFacts
 from plankroute.interface.notes import HostState, Outcome
-from plankroute.controller.registry import Change, Pushed, ProxyRegistry, even_cap, in_whole
 
 SECOND_US = 1_000_000
 ASK_AGAIN_US = 2 * SECOND_US  # for a list that failed: well before it counts as known
@@ -435,7 +435,7 @@
     FALLEN = 0.75  # a cold host's slot below this part of the pushed one does not wait
     LEARN_US = 5 * SECOND_US  # for first weights, if binds then fit the grace: old tables name lost hosts
     IN_TIME = 0.75  # of the grace left after the longest way: binds that fit need no withdrawals before them
-    BIND_US, BIND_SHARE = 3 * SECOND_US, 0.5  # for all binds, of the grace: old tables until then
+    BIND_US, BIND_SHARE = 3 * SECOND_US, 0.5  # for all binds, at most; of what the grace leaves, at most
     BURST = 0.1  # of the streams, within a second: more than break by themselves
     LOST = 0.1  # of a zone's hosts: the few of a standing table, drawn from it, may all be among them
     KEEP_US = 60 * SECOND_US  # for hosts that are gone: proxies back from the longest cuts may name them yet
@@ -517,8 +517,8 @@
         fits = self.refused and sum(map(self.gone_lines, self.due)) <= room
         at_once = fits or (self.due and self.desk.now - self.told_us >= self.most_gap_us)
         changes = sorted(self.changes(), key=lambda change: (-change.worth, change.place))
-        shut = any(change.urgent and fleet.shut[change.place] for change in changes)  # not longer than a turn
-        gap_us = min(self.most_gap_us, Balancer.TURN_US) if shut else self.most_gap_us
+        shut = any(change.urgent and fleet.shut[change.place] for change in changes)
+        gap_us = min(self.most_gap_us, Balancer.TURN_US) if shut else self.most_gap_us  # bad hosts: a turn
         busy = self.channel.waiting > self.round and since < gap_us
         if since < self.least_gap_us or (busy and not at_once):
             return
--- a/tests/test_decide.py
+++ b/tests/test_decide.py
@@ -357,7 +357,8 @@
     bench = Bench(start_facts(grace_us=2 * SECOND))
     bench.give(full(*[entry(100 + i, kind=i % 2) for i in range(6)]))
     asked = probes(bench.give(notes.ProxyJoined(0, 0, 10.0, False)))
-    bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, 10_000 + host % 2 * 20_000, None) for host in asked])
+    took = {host: 10_000 + host % 2 * 20_000 for host in asked}
+    bench.give(*[notes.ProbeResult(host, Outcome.ANSWERED, took[host], None) for host in asked])
     bench.pass_time(2 * SECOND)
     assert asked == set(range(100, 106)) and bench.lines[0][100] > 2 * bench.lines[0][101]
 
