--- a/plankroute/net/discovery/catalogue.py
+++ b/plankroute/net/discovery/catalogue.py
@@ -8,10 +8,10 @@
 from plankroute.events.events import HostState
 from plankroute.events.settings import finite
 from plankroute.net.process.errors import Rejection, RejectionStage
+from plankroute.units import MAX_UNIX_MS
 
 MEMBERS = "/catalog/members"
 STATES = {"SERVING": HostState.READY, "DRAINING": HostState.DRAINING, "DELETED": HostState.GONE}
-MAX_UNIX_MS = 1e14  # the year 5138: what lies beyond is nonsense
 MAX_CELL = 2**16  # a guess: no fleet has as many cells
 NOT_IN_NAMES = frozenset(" ,:=+\r\n")  # they would break a line to a proxy
 
--- a/plankroute/warm_start/snapshot.py
+++ b/plankroute/warm_start/snapshot.py
@@ -9,12 +9,15 @@
 
 import msgspec
 
+from plankroute.units import MAX_UNIX_MS
+
 MAX_HOSTS = 8192  # in one snapshot: as many as an endpoint list of 3 MB names
 MAX_AGE_US = 1 << 53  # three centuries; a guess: any larger figure is as meaningless
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
 Age = Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_US)]
 Figure = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+UnixMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]  # 0: long ago
 
 
 class HostKnowledge(msgspec.Struct, frozen=True, array_like=True):
@@ -33,7 +36,7 @@
     """
 
     uid: Name
-    boot_ms: Figure
+    boot_ms: UnixMilliseconds
     weight: Figure
     attempts: Figure
     failed: Figure
--- a/tests/warm_start/test_warm_restart_processes.py
+++ b/tests/warm_start/test_warm_restart_processes.py
@@ -17,6 +17,7 @@
 
 HOSTS = 20
 FAILING_HOST = 7
+STARTED_MS = 1_764_700_000_123  # of every second host, a Unix time; the others started long ago
 
 OutcomeByWay = dict[str, Outcome]
 
@@ -70,7 +71,7 @@
                 "pod_group": 0,
                 "state": "SERVING",
                 "capacity_hint": 1.0,
-                "boot_ms": 0,
+                "boot_ms": STARTED_MS if host % 2 else 0,
             }
             for host in range(HOSTS)
         ]
