--- a/plankroute/warm_start/core.py
+++ b/plankroute/warm_start/core.py
@@ -11,7 +11,7 @@
 
 from plankroute.events.events import HostState
 from plankroute.warm_start.merge import MergedKnowledge, Observation, from_observation, merge
-from plankroute.warm_start.snapshot import MAX_HOSTS, HostKnowledge, Snapshot
+from plankroute.warm_start.snapshot import HostKnowledge, Snapshot
 
 # By which bad news count as fresher than good ones. A guess: within that time health checks readmit
 # a host that recovered.
@@ -235,7 +235,7 @@
             hosts.append(as_host_knowledge(now_us, merge(known, new, HALF_LIFE_US)))
         hosts += [as_host_knowledge(now_us, known) for known in prior.values()]
         fresh = [host for host in hosts if host.age_us < self.settings.max_age_us]
-        return msgspec.structs.replace(own, hosts=tuple(fresh[:MAX_HOSTS]))
+        return msgspec.structs.replace(own, hosts=tuple(fresh)).within_bounds()
 
 
 def as_host_knowledge(now_us: int, known: MergedKnowledge) -> HostKnowledge:
--- a/plankroute/warm_start/snapshot.py
+++ b/plankroute/warm_start/snapshot.py
@@ -11,10 +11,11 @@
 
 from plankroute.units import MAX_UNIX_MS
 
+MAX_NAME_LENGTH = 256
 MAX_HOSTS = 8192  # in one snapshot: as many as an endpoint list of 3 MB names
 MAX_AGE_US = 1 << 53  # three centuries; a guess: any larger figure is as meaningless
 
-Name = Annotated[str, msgspec.Meta(min_length=1, max_length=256)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 Age = Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_US)]
 Figure = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 UnixMilliseconds = Annotated[float, msgspec.Meta(ge=0, le=MAX_UNIX_MS)]  # 0: long ago
@@ -66,3 +67,11 @@
     list_age_us: Age
     hosts: Annotated[tuple[HostKnowledge, ...], msgspec.Meta(max_length=MAX_HOSTS)]
     withdrawn: Annotated[tuple[tuple[Name, str], ...], msgspec.Meta(max_length=MAX_HOSTS)]
+
+    def within_bounds(self) -> "Snapshot":
+        """Returns the snapshot without the entries for which a reader would refuse all of it."""
+        hosts = tuple(host for host in self.hosts if len(host.uid) <= MAX_NAME_LENGTH)
+        withdrawn = tuple(entry for entry in self.withdrawn if len(entry[0]) <= MAX_NAME_LENGTH)
+        return msgspec.structs.replace(
+            self, hosts=hosts[:MAX_HOSTS], withdrawn=withdrawn[:MAX_HOSTS]
+        )
--- a/tests/warm_start/test_warm_start_core.py
+++ b/tests/warm_start/test_warm_start_core.py
@@ -17,6 +17,7 @@
     WarmStart,
     WarmStartSettings,
 )
+from plankroute.warm_start.snapshot import MAX_HOSTS
 
 
 @pytest.fixture
@@ -118,3 +119,22 @@
         stored = decode_snapshot(data)
         assert stored
         assert stored.hosts[0].age_us == (restart + 1) * 100 * SECOND
+
+
+def test_hosts_whose_names_are_too_long_to_store_cost_no_other_host_its_knowledge(
+    core: WarmStart,
+) -> None:
+    """Guards against a snapshot that its own reader refuses whole for one entry."""
+    name = "h" * 300  # a name that the endpoint list may hold
+    long_named = msgspec.structs.replace(UNHEALTHY, uid=name)
+    withdrawn = [(name, "DRAINING"), ("y", "DELETED")]
+    own = snapshot_of(UNHEALTHY, long_named, withdrawn=withdrawn)
+    stored = decode_snapshot(encode_snapshot(core.snapshot(0, own)))
+    assert stored == snapshot_of(UNHEALTHY, withdrawn=[("y", "DELETED")])
+
+
+def test_more_withdrawn_hosts_than_a_snapshot_holds_leave_it_readable(core: WarmStart) -> None:
+    withdrawn = [(f"h{host}", "DELETED") for host in range(MAX_HOSTS + 1)]
+    own = snapshot_of(HEALTHY, withdrawn=withdrawn)
+    stored = decode_snapshot(encode_snapshot(core.snapshot(0, own)))
+    assert stored == snapshot_of(HEALTHY, withdrawn=withdrawn[:MAX_HOSTS])
