Log and counters of proxies that wait for tables and of what fills the channel

Event publishing, once a second while proxies wait or withdrawals are pending, and counters channel.lines.* and proxies.overdue_s say so; the status is a value of the core (state/publishing_status.py), the adapter logs it.

--- a/plankroute/net/process/core_runner.py
+++ b/plankroute/net/process/core_runner.py
@@ -9,6 +9,7 @@
 from plankroute.controller.messages import Message
 from plankroute.events import commands, events
 from plankroute.net.process.clock import Clock, Timers
+from plankroute.net.process.publishing_log import PublishingLog
 from plankroute.net.process.telemetry import Telemetry
 
 
@@ -50,6 +51,7 @@
         self.telemetry = telemetry
         self.min_batch_interval_us = min_batch_interval_us
         self.outputs = CoreOutputs()
+        self.publishing_log = PublishingLog(telemetry)
         self.last_batch_us = 0
         self.timers = Timers()
         self.pending = list[events.Event]()
@@ -102,6 +104,7 @@
             for message in self.message_builder.build(decided):
                 self.outputs.send_message(message)
             self._forget_hosts(decided)
+            self.publishing_log.report(now_us, self.controller.publisher.status)
         except Exception as error:
             self.telemetry.failed("core", error)
 
--- a/plankroute/policy/binding.py
+++ b/plankroute/policy/binding.py
@@ -36,12 +36,15 @@
         max_queued = self.flow.allowance if slots_wait else self.flow.bind_allowance
         # A returning proxy may have withdrawn hosts by command of another controller.
         withdrawn_for_returning = withdrawn | self.host_table.possibly_withdrawn
-        for proxy in sorted(registry.unbound, key=lambda proxy: (*registry.unbound[proxy], proxy)):
+        for proxy in sorted(registry.unbound, key=self._bind_order):
             is_returning = proxy in registry.returning
             named = withdrawn_for_returning if is_returning else withdrawn
             if not self._bind(proxy, named, max_queued):
                 break
 
+    def _bind_order(self, proxy: int) -> tuple[bool, float, int]:
+        return *self.registry.unbound[proxy].bind_order, proxy
+
     def _bind(self, proxy: int, withdrawn: set[int], max_queued: float) -> bool:
         """Binds a proxy if that fits; returns whether it did."""
         registry = self.registry
--- a/plankroute/policy/publisher.py
+++ b/plankroute/policy/publisher.py
@@ -17,6 +17,7 @@
 from plankroute.state.host_statistics import NO_CAP
 from plankroute.state.proxy_registry import ProxyRegistry, RegistryEvent
 from plankroute.state.published_table import Change
+from plankroute.state.publishing_status import PublishingStatus
 from plankroute.state.scheduler import Scheduler, Tick
 
 # Share of a zone's hosts that are removed, from which on proxies that wait there may have no
@@ -74,6 +75,21 @@
         """Hosts that proxies have a command to withdraw, by index."""
         return self.drains.withdrawn
 
+    def status(self) -> PublishingStatus:
+        """Returns what waits to be published and what fills the channel."""
+        now = self.scheduler.now
+        waits_us = [now - waiting.since_us for waiting in self.unbound.values()]
+        return PublishingStatus(
+            bound_proxies=len(self.bound),
+            waiting_proxies=len(waits_us),
+            longest_wait_us=max(waits_us, default=0),
+            overdue_proxies=sum(wait_us > self.flow.grace_slack_us for wait_us in waits_us),
+            pending_withdrawals=len(self.drains.pending),
+            queued_lines=round(self.channel.queued),
+            unacknowledged_lines=self.channel.unacknowledged,
+            written_lines=self.channel.written.copy(),
+        )
+
     def expired_hosts(self) -> list[int]:
         """Returns the ids of removed hosts of which nothing has to be remembered any more."""
         return self.drains.expired_hosts()
--- a/plankroute/state/channel.py
+++ b/plankroute/state/channel.py
@@ -4,8 +4,11 @@
 wait in the channel; acknowledgements by proxies tell which have left it.
 """
 
+from collections import Counter
 from collections.abc import Iterable
 
+from plankroute.state.publishing_status import LineKind
+
 MAX_SEQUENCE_NUMBER = 65535  # by the protocol; 1 follows
 
 
@@ -23,6 +26,7 @@
         queued: Estimate of the lines that have not left the channel, by the last `advance`.
         batch: Lines of the batch in hand, by proxy, without the overhead.
         in_flight: Unacknowledged lines by sequence number and proxy, the oldest batch first.
+        written: Lines written so far, by kind.
     """
 
     def __init__(self, message_overhead_lines: int, lines_per_us: float, answer_us: float) -> None:
@@ -39,18 +43,21 @@
         self.queued = 0.0
         self.batch: dict[int, int] = {}
         self.in_flight: dict[int, dict[int, int]] = {}
+        self.written: Counter[LineKind] = Counter()
         self._lines_per_us = lines_per_us
         self._max_in_flight = lines_per_us * answer_us
         self._advanced_us = 0
 
-    def charge(self, proxies: Iterable[int], lines: int) -> None:
+    def charge(self, proxies: Iterable[int], lines: int, kind: LineKind) -> None:
         """Counts lines that the batch in hand writes to each of the proxies."""
         for proxy in proxies:
             lines_before = self.batch.get(proxy, 0)
             self.batch[proxy] = lines_before + lines
-            cost = lines if lines_before else lines + self.message_overhead
-            self.unacknowledged += cost
-            self.queued += cost
+            overhead = 0 if lines_before else self.message_overhead
+            self.unacknowledged += lines + overhead
+            self.queued += lines + overhead
+            self.written[kind] += lines
+            self.written[LineKind.OVERHEAD] += overhead
 
     def advance(self, now: int) -> None:
         """Updates `queued` to a clock in microseconds.
--- a/plankroute/state/proxy_registry.py
+++ b/plankroute/state/proxy_registry.py
@@ -1,10 +1,12 @@
 """Proxy registry: joined proxies, the tables as last published, and who is bound to them."""
 
 from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
 
 from plankroute.events import commands, events
 from plankroute.state.channel import Channel
 from plankroute.state.published_table import PublishedTable
+from plankroute.state.publishing_status import LineKind
 from plankroute.state.scheduler import Actor, Scheduler, Tick
 
 RegistryEvent = (
@@ -17,6 +19,33 @@
 )
 """What the actor is sent that keeps the proxies: among it, the limits that it is to publish."""
 
+KIND_OF_LINE: dict[type[commands.Command], LineKind] = {
+    commands.SetRoute: LineKind.SLOT,
+    commands.BindProxy: LineKind.BIND,
+    commands.WithdrawHost: LineKind.WITHDRAWAL,
+    commands.SetAdmissionLimit: LineKind.LIMIT,
+}
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingProxy:
+    """A joined proxy that is not bound yet.
+
+    Attributes:
+        has_older_tables: It holds tables of an earlier stream, not only those that it began with.
+        usual_rate: Requests a second that it usually gets.
+        since_us: Clock in microseconds at which it joined.
+    """
+
+    has_older_tables: bool
+    usual_rate: float
+    since_us: int
+
+    @property
+    def bind_order(self) -> tuple[bool, float]:
+        """Sorts those without older tables first, and of them those with the highest rate."""
+        return self.has_older_tables, -self.usual_rate
+
 
 class ProxyRegistry(Actor[RegistryEvent]):
     """Joined proxies, the tables and the channel to the proxies; storage, no decision.
@@ -29,8 +58,7 @@
         channel: Accounting of the lines in flight to the proxies.
         zone_of_proxy: Zone by joined proxy.
         bound: Proxies that are bound.
-        unbound: By unbound proxy, whether it holds older tables, and its usual rate, negative: so
-            sorted, those without tables come first, and of them those with the highest rate.
+        unbound: The unbound proxies.
         returning: Joined proxies that came with older tables: they may keep hosts withdrawn that
             others withdrew.
         notified: By withdrawn host, the proxies that were told so on their present streams.
@@ -45,7 +73,7 @@
         self.channel = channel
         self.zone_of_proxy: dict[int, int] = {}
         self.bound: set[int] = set()
-        self.unbound: dict[int, tuple[bool, float]] = {}
+        self.unbound: dict[int, WaitingProxy] = {}
         self.returning: set[int] = set()
         self.notified: dict[int, set[int]] = {}
         self.disconnected_at: dict[int, int] = {}
@@ -53,7 +81,8 @@
     def join(self, event: events.ProxyJoined) -> None:
         """Adds a proxy, unbound."""
         self.zone_of_proxy[event.proxy] = event.zone
-        self.unbound[event.proxy] = (not event.fresh, -event.usual_rate)
+        now = self.scheduler.now
+        self.unbound[event.proxy] = WaitingProxy(not event.fresh, event.usual_rate, now)
         if not event.fresh:
             self.returning.add(event.proxy)
 
@@ -71,8 +100,8 @@
         """Returns the zones of unbound proxies that have only the tables that they began with."""
         return {
             self.zone_of_proxy[proxy]
-            for proxy, (has_older_tables, _) in self.unbound.items()
-            if not has_older_tables
+            for proxy, waiting in self.unbound.items()
+            if not waiting.has_older_tables
         }
 
     def count_disconnects(self, proxy: int, now: int, span_us: int) -> int:
@@ -115,7 +144,7 @@
     def command(self, command: commands.Command, proxies: Iterable[int], lines: int = 1) -> None:
         """Gives out a command that writes so many lines to each of the proxies."""
         self.scheduler.out.append(command)
-        self.channel.charge(proxies, lines)
+        self.channel.charge(proxies, lines, KIND_OF_LINE[type(command)])
 
     def request_acknowledgements(self) -> None:
         """Ends the batch's messages: acknowledgements will tell when they have left the channel."""
--- a/tests/policy/test_flow_control.py
+++ b/tests/policy/test_flow_control.py
@@ -19,6 +19,7 @@
 
 from plankroute.controller.controller import Controller
 from plankroute.events import commands, events
+from plankroute.state.publishing_status import LineKind
 
 
 def test_ordinary_lines_wait_while_proxies_do_not_acknowledge_but_drains_do_not() -> None:
@@ -136,7 +137,7 @@
         0.0,
         bench.now,
     )  # as if it had just written, and more still waits
-    publisher.channel.charge([0], 1)
+    publisher.channel.charge([0], 1, LineKind.SLOT)
     bench.controller.host_table.ejected[0] = True
     bench.pass_time(SECOND // 2)
     assert 100 in bench.lines[0]
--- a/tests/state/test_channel.py
+++ b/tests/state/test_channel.py
@@ -1,6 +1,7 @@
 """Accounting of a controller's channel: what waits in it, as far as acknowledgements tell."""
 
 from plankroute.state.channel import Channel
+from plankroute.state.publishing_status import LineKind
 
 SECOND_US = 1_000_000
 
@@ -11,7 +12,7 @@
     Its pace is a thousand lines a second; acknowledgements take half a second at most.
     """
     channel = Channel(message_overhead_lines=4, lines_per_us=1e-3, answer_us=SECOND_US / 2)
-    channel.charge(proxies, lines)
+    channel.charge(proxies, lines, LineKind.SLOT)
     channel.close_batch()
     return channel
 
