Drains hold when most controllers are killed in a release: interim tables

Excluded: a grace counted from another moment (it is passed by seconds either way), hosts that are forgotten, lists, CPU.

Fix: where waiting proxies can not be bound in time and withdrawals take more lines, they are bound at once to small tables, so many rows that all proxies of the fleet fit what ordinary lines leave of the grace. Interim tables share out all ready hosts; complete tables follow as the channel has room.

--- a/plankroute/net/process/publishing_log.py
+++ b/plankroute/net/process/publishing_log.py
@@ -30,7 +30,9 @@
             return
         self._reported_us = now_us
         status = read_status()
-        is_waiting = bool(status.waiting_proxies or status.pending_withdrawals)
+        is_waiting = bool(
+            status.waiting_proxies or status.interim_proxies or status.pending_withdrawals
+        )
         if is_waiting or self._was_waiting:
             self._log(status)
         self._was_waiting = is_waiting
@@ -49,6 +51,7 @@
             "warning" if status.overdue_proxies else "info",
             "publishing",
             bound=status.bound_proxies,
+            interim=status.interim_proxies,
             waiting=status.waiting_proxies,
             longest_wait_ms=status.longest_wait_us // 1000,
             overdue=status.overdue_proxies,
--- a/plankroute/policy/binding.py
+++ b/plankroute/policy/binding.py
@@ -1,14 +1,17 @@
 """Binding: puts proxies that wait on this controller's tables."""
 
+from collections.abc import Sequence
+
 from plankroute.events import commands
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.flow_control import FlowControl
 from plankroute.policy.host_table import HostTable
 from plankroute.state.proxy_registry import ProxyRegistry
+from plankroute.state.published_table import PublishedTable
 
 
 class Binder:
-    """Binds proxies, each once a connection and never to tables without slots."""
+    """Binds proxies to complete tables, each once a connection and never without slots."""
 
     def __init__(
         self,
@@ -23,7 +26,9 @@
         self.flow = flow
 
     def bind_waiting(self, withdrawn: set[int], slots_wait: bool) -> None:
-        """Binds as many waiting proxies as fit: fresh ones, and large ones, first.
+        """Binds as many proxies as fit: waiting ones first, then those on interim tables.
+
+        Of those that wait, fresh ones and large ones go first.
 
         Args:
             withdrawn: Hosts that are withdrawn: an additional line each in a bind.
@@ -34,32 +39,64 @@
         if not has_slots or self.first_weights.is_waiting:
             return
         max_queued = self.flow.allowance if slots_wait else self.flow.bind_allowance
-        # A returning proxy may have withdrawn hosts by command of another controller.
-        withdrawn_for_returning = withdrawn | self.host_table.possibly_withdrawn
-        for proxy in sorted(registry.unbound, key=self._bind_order):
-            is_returning = proxy in registry.returning
-            named = withdrawn_for_returning if is_returning else withdrawn
-            if not self._bind(proxy, named, max_queued):
+        waiting = sorted(registry.unbound, key=self._bind_order)
+        self._bind_in_order(waiting, withdrawn, max_queued)
+        if not registry.unbound:
+            on_interim_tables = sorted(registry.interim, key=lambda proxy: -registry.interim[proxy])
+            self._bind_in_order(on_interim_tables, withdrawn, self.flow.rebind_allowance)
+
+    def _bind_in_order(self, proxies: list[int], withdrawn: set[int], max_queued: float) -> None:
+        registry = self.registry
+        for proxy in proxies:
+            zone = registry.zone_of_proxy[proxy]
+            tables = [table for table in registry.tables if table.serves_zone(zone)]
+            reinstated = reinstated_by_bind(registry, self.host_table, withdrawn, proxy)
+            if not bind(registry, self.flow, proxy, tables, reinstated, max_queued):
                 break
+            registry.enter_complete_tables(proxy)
 
     def _bind_order(self, proxy: int) -> tuple[bool, float, int]:
         return *self.registry.unbound[proxy].bind_order, proxy
 
-    def _bind(self, proxy: int, withdrawn: set[int], max_queued: float) -> bool:
-        """Binds a proxy if that fits; returns whether it did."""
-        registry = self.registry
-        zone = registry.zone_of_proxy[proxy]
-        tables = [table for table in registry.tables if table.serves_zone(zone)]
-        lines_of_tables = [table.bind_lines(withdrawn) for table in tables]
-        lines = sum(lines_of_tables) + registry.channel.message_overhead
-        # Guards against a table longer than binds may queue, which would never go; alone it does.
-        max_queued = max(max_queued, min(lines, self.flow.allowance))
-        if lines > self.flow.available_lines(registry, max_queued):
-            return False
-        del registry.unbound[proxy]
-        registry.bound.add(proxy)
-        for table, table_lines in zip(tables, lines_of_tables, strict=True):
-            request_classes = tuple(table.request_classes) if len(registry.tables) > 1 else None
-            command = commands.BindProxy(table.number, proxy, request_classes)
-            registry.command(command, [proxy], table_lines)
-        return True
+
+def reinstated_by_bind(
+    registry: ProxyRegistry, host_table: HostTable, withdrawn: set[int], proxy: int
+) -> set[int]:
+    """Returns the hosts that cost a second line in a bind of the proxy.
+
+    A returning proxy may have withdrawn hosts by command of another controller.
+    """
+    if proxy in registry.returning:
+        return withdrawn | host_table.possibly_withdrawn
+    return withdrawn
+
+
+def bind(
+    registry: ProxyRegistry,
+    flow: FlowControl,
+    proxy: int,
+    tables: Sequence[PublishedTable],
+    reinstated: set[int],
+    max_queued: float,
+) -> bool:
+    """Binds a proxy to tables if that fits; returns whether it did.
+
+    Args:
+        registry: Joined proxies and their channel.
+        flow: What the channel can take.
+        proxy: The proxy.
+        tables: One for each request class of the proxy's zone.
+        reinstated: Hosts that cost a second line.
+        max_queued: Lines that may be queued.
+    """
+    lines_of_tables = [table.bind_lines(reinstated) for table in tables]
+    lines = sum(lines_of_tables) + registry.channel.message_overhead
+    # Guards against a table longer than binds may queue, which would never go; alone it does.
+    max_queued = max(max_queued, min(lines, flow.allowance))
+    if lines > flow.available_lines(registry, max_queued):
+        return False
+    for table, table_lines in zip(tables, lines_of_tables, strict=True):
+        request_classes = tuple(table.request_classes) if len(registry.tables) > 1 else None
+        command = commands.BindProxy(table.number, proxy, request_classes)
+        registry.command(command, [proxy], table_lines)
+    return True
--- a/plankroute/policy/drains.py
+++ b/plankroute/policy/drains.py
@@ -13,7 +13,7 @@
 from plankroute.policy.host_table import HostTable
 from plankroute.state.host_statistics import NO_CAP
 from plankroute.state.proxy_registry import ProxyRegistry
-from plankroute.state.published_table import Change
+from plankroute.state.published_table import Change, PublishedTable
 
 # Time for which removed hosts are remembered: proxies back from the longest network partitions may
 # still name them. A guess.
@@ -29,6 +29,8 @@
     Attributes:
         withdrawn: Hosts that proxies have a command to withdraw.
         pending: Hosts still to be withdrawn.
+        waiting_get_tables: Proxies that wait get tables at once, which replace theirs: they need no
+            withdrawals.
         last_written_us: When a withdrawal was last written, or had to wait for acknowledgements.
     """
 
@@ -46,6 +48,7 @@
         self.flow = flow
         self.withdrawn: set[int] = set()
         self.pending: set[int] = set()
+        self.waiting_get_tables = False
         self.last_written_us = -message_window_us
         self._last_sweep_us = -message_window_us
         self._has_refused = False  # some did not fit into the last message
@@ -56,7 +59,7 @@
         index = self.host_table.index_of[entry.host]
         if self.host_table.state[index] is HostState.READY:
             self.pending.discard(index)
-        elif index not in self.withdrawn and self.registry.withdrawal_lines(index):
+        elif index not in self.withdrawn and self.withdrawal_lines(index):
             self.pending.add(index)
 
     def on_proxy_joined(self) -> None:
@@ -73,11 +76,11 @@
         now = self.registry.scheduler.now
         if not registry.unbound:
             self._uninformed_since_us = None
-        if self._uninformed_since_us is None:
+        if self._uninformed_since_us is None or self.waiting_get_tables:
             return
         if now - self._last_sweep_us < self.flow.max_gap_us:
             return
-        if self.first_weights.is_waiting or not self._can_bind_in_time(self._uninformed_since_us):
+        if self.first_weights.is_waiting or not self.can_bind_in_time(self._uninformed_since_us):
             self.pending.update(
                 index
                 for index in self.host_table.index_of.values()
@@ -109,7 +112,7 @@
 
         The first go at once; those that were refused go when all of them fit.
         """
-        if self._has_refused and sum(map(self.registry.withdrawal_lines, self.pending)) <= budget:
+        if self._has_refused and sum(map(self.withdrawal_lines, self.pending)) <= budget:
             return True
         since_us = self.registry.scheduler.now - self.last_written_us
         return bool(self.pending) and since_us >= self.flow.max_gap_us
@@ -127,12 +130,17 @@
         registry = self.registry
         host_table = self.host_table
         tables = registry.tables_with(host)
-        lines = registry.withdrawal_lines(host)
+        lines = self.withdrawal_lines(host)
         if lines > budget:
             return 0  # it has to wait for acknowledgements
         self.pending.discard(host)
-        if len(tables) == 1:
-            write_slot(registry, host_table, Change(0.0, True, tables[0], host, 0), budget)
+        shrinking: list[PublishedTable] = list(registry.interim_tables_with(host))
+        if len(tables) == 1 or self.waiting_get_tables:
+            shrinking += tables
+        for table in shrinking:
+            write_slot(registry, host_table, Change(0.0, True, table, host, 0), budget)
+        if self.waiting_get_tables:
+            return lines
         proxies = registry.zone_of_proxy if len(tables) > 1 else registry.unbound
         recipients = registry.mark_notified(host, proxies)
         if recipients:
@@ -141,6 +149,36 @@
             self.withdrawn.add(host)
         return lines
 
+    def withdrawal_lines(self, host: int) -> int:
+        """Returns the lines that notify all proxies that may use a host of its withdrawal.
+
+        These are the users of the one complete table that holds it and of interim tables that do,
+        whose slots just go, and the unbound proxies not yet notified; all joined proxies if several
+        complete tables hold it.
+        """
+        registry = self.registry
+        tables = registry.tables_with(host)
+        lines = sum(len(table.users) for table in registry.interim_tables_with(host))
+        if len(tables) > 1 and not self.waiting_get_tables:
+            return lines + len(registry.zone_of_proxy)
+        lines += sum(len(registry.users(table)) for table in tables)
+        return lines if self.waiting_get_tables else lines + registry.unnotified_lines(host)
+
+    def can_bind_in_time(self, since_us: int) -> bool:
+        """Whether all waiting proxies can be bound to complete tables before the grace ends.
+
+        Args:
+            since_us: Since when the grace runs.
+        """
+        registry = self.registry
+        table_lines = sum(table.bind_lines(set()) for table in registry.tables)
+        lines_per_bind = registry.channel.message_overhead + table_lines
+        lines = registry.channel.unacknowledged + len(registry.unbound) * lines_per_bind
+        waited_us = registry.scheduler.now - since_us
+        left_us = MAX_BIND_PART_OF_GRACE * self.flow.grace_slack_us - waited_us
+        lines_in_time = left_us * self.flow.lines_per_us
+        return bool(lines <= lines_in_time)
+
     def expired_hosts(self) -> list[int]:
         """Returns the ids of removed hosts of which nothing has to be remembered any more."""
         host_table = self.host_table
@@ -162,13 +200,3 @@
         """Sorts hosts that tables name first, then those that were removed last."""
         is_in_no_table = not self.registry.tables_with(host)
         return is_in_no_table, -self.host_table.heard_at_us[host], host
-
-    def _can_bind_in_time(self, since_us: int) -> bool:
-        registry = self.registry
-        table_lines = sum(table.bind_lines(set()) for table in registry.tables)
-        lines_per_bind = registry.channel.message_overhead + table_lines
-        lines = registry.channel.unacknowledged + len(registry.unbound) * lines_per_bind
-        waited_us = registry.scheduler.now - since_us
-        left_us = MAX_BIND_PART_OF_GRACE * self.flow.grace_slack_us - waited_us
-        lines_in_time = left_us * self.flow.lines_per_us
-        return bool(lines <= lines_in_time)
--- a/plankroute/policy/flow_control.py
+++ b/plankroute/policy/flow_control.py
@@ -23,6 +23,8 @@
 # Part of that allowance that binds may fill: they leave capacity for slots, so that proxies which
 # come later find the table right. A guess.
 BIND_PART_OF_ALLOWANCE = 0.45
+# Part of that which binds of proxies on interim tables may fill: these can wait, slots go first.
+REBIND_PART_OF_BINDS = 0.25
 # Time for which a moved slot stands, over which its line has to pay: a moved request gains a tenth
 # or so. A guess (docs/design.md, what size changes).
 SLOT_LIFETIME_US = 3 * SECOND_US // 2
@@ -39,7 +41,9 @@
         backlog_cap: Lines that may be unacknowledged at any time.
         grace_slack_us: What the drain grace leaves after the longest one-way delay.
         allowance: Lines that may be queued for what can wait.
+        urgent_lines_in_grace: Lines that the channel carries beside those within the drain grace.
         bind_allowance: The same for binds.
+        rebind_allowance: The same for binds of proxies that are on interim tables.
         round_trip_lines: Lines that are in flight while a message and its acknowledgement are under
             way.
         line_price: Penalty of a line at every proxy, in the unit of a change's benefit.
@@ -51,11 +55,14 @@
         self.lines_per_us = facts.channel_lines_per_s / SECOND_US
         self.backlog_cap = facts.backlog_cap_lines
         self.grace_slack_us = max(0, facts.drain_grace_us - facts.max_one_way_delay_us)
-        lines_in_grace = ORDINARY_PART_OF_GRACE * self.grace_slack_us * self.lines_per_us
-        self.allowance = min(ORDINARY_PART_OF_BACKLOG * self.backlog_cap, lines_in_grace)
+        lines_in_grace = self.grace_slack_us * self.lines_per_us
+        ordinary_lines = ORDINARY_PART_OF_GRACE * lines_in_grace
+        self.allowance = min(ORDINARY_PART_OF_BACKLOG * self.backlog_cap, ordinary_lines)
+        self.urgent_lines_in_grace = lines_in_grace - ordinary_lines
         round_trip_us = 2 * PULSE_US + 2 * facts.one_way_delay_us
         self.round_trip_lines = round_trip_us * self.lines_per_us
         self.bind_allowance = min(self.allowance * BIND_PART_OF_ALLOWANCE, self.round_trip_lines)
+        self.rebind_allowance = REBIND_PART_OF_BINDS * self.bind_allowance
         self.line_price = line_price(facts)
         self.max_gap_us = facts.drain_grace_us / MAX_GAPS_PER_GRACE
         self.min_gap_us = 0.0
--- /dev/null
+++ b/plankroute/policy/interim_binding.py
@@ -0,0 +1,157 @@
+"""Interim binding: small tables for proxies that can not get complete ones within the drain grace.
+
+When most controllers fail, their proxies come to those that are left, with tables that may name
+hosts which drain or are gone. Complete tables for all of them would take the channel longer than
+the drain grace. Binding every proxy of the fleet to an interim table takes no more of the grace
+than ordinary lines leave. Their proxies are bound to complete tables afterwards.
+"""
+
+from collections.abc import Sequence
+from dataclasses import replace
+
+from plankroute.events import commands
+from plankroute.events.events import HostState
+from plankroute.events.facts import AdmissionUnit, StartFacts
+from plankroute.policy.admission import RETRY_POLICY
+from plankroute.policy.binding import bind, reinstated_by_bind
+from plankroute.policy.drains import Drains
+from plankroute.policy.first_weights import FirstWeights
+from plankroute.policy.flow_control import FlowControl, write_slot
+from plankroute.policy.host_table import HostTable
+from plankroute.policy.interim_tables import InterimTables
+from plankroute.policy.slots import RoutingTable
+from plankroute.state.proxy_registry import ProxyRegistry
+from plankroute.state.published_table import InterimTable
+
+LimitKey = tuple[int | None, tuple[int, ...] | None]
+"""The table and the request classes of an admission limit."""
+
+# Hosts in an interim table: with fewer, proxies would hang on single hosts; with more, they could
+# as well wait for complete tables.
+MIN_ROWS = 4
+MAX_ROWS = 24
+
+
+class InterimBinder:
+    """Binds waiting proxies to interim tables, and keeps these tables right.
+
+    Attributes:
+        is_active: Proxies that wait get interim tables, and no withdrawals meanwhile.
+        tables: The interim tables.
+    """
+
+    def __init__(
+        self,
+        registry: ProxyRegistry,
+        bases: list[RoutingTable],
+        host_table: HostTable,
+        first_weights: FirstWeights,
+        drains: Drains,
+        flow: FlowControl,
+        facts: StartFacts,
+    ) -> None:
+        self.registry = registry
+        self.host_table = host_table
+        self.first_weights = first_weights
+        self.drains = drains
+        self.flow = flow
+        self.is_active = False
+        # Without limits proxies admit everything and retry by default.
+        needs_limits = (
+            facts.admission_unit is not AdmissionUnit.NONE or facts.default_retry != RETRY_POLICY
+        )
+        self.tables = InterimTables(registry, bases, host_table, drains, needs_limits)
+        self.tables.rows = self._rows_in_grace(facts)
+        self._limits: dict[LimitKey, commands.SetAdmissionLimit] = {}
+        self._gathered_us = 0
+
+    def update(self) -> None:
+        """Begins where proxies wait that can not be bound in time; ends when none waits."""
+        if not self.registry.unbound:
+            self.is_active = False
+        elif not self.is_active and self._is_needed():
+            self.is_active = True
+            if not self.registry.interim:
+                self._fill_tables()
+
+    def bind_waiting(self) -> None:
+        """Binds all waiting proxies that fit, those that have waited longest first."""
+        registry = self.registry
+        waiting = registry.unbound
+        for proxy in sorted(waiting, key=lambda proxy: (waiting[proxy].since_us, proxy)):
+            tables = self.tables.tables_for(proxy)
+            reinstated = reinstated_by_bind(registry, self.host_table, self.drains.withdrawn, proxy)
+            if not bind(registry, self.flow, proxy, tables, reinstated, self.flow.backlog_cap):
+                break
+            registry.enter_interim_tables(proxy, tables)
+
+    def write_gathered(self, budget: float) -> None:
+        """Writes the changes of interim tables that gather, if it is time for them and they fit."""
+        now = self.registry.scheduler.now
+        if not self.registry.interim or now - self._gathered_us < self.flow.max_gap_us:
+            return
+        self._gathered_us = now
+        for change in self.tables.ordinary_changes():
+            budget -= write_slot(self.registry, self.host_table, change, budget)
+
+    def note_limit(self, limit: commands.SetAdmissionLimit) -> None:
+        """Notes a limit that was written for a complete table: interim tables start with it."""
+        self._limits[limit.table, limit.request_classes] = limit
+
+    def limits_like(
+        self, limit: commands.SetAdmissionLimit
+    ) -> list[tuple[InterimTable, commands.SetAdmissionLimit]]:
+        """Returns the limit of a complete table for each of its interim tables."""
+        return [
+            (table, replace(limit, table=table.number))
+            for table in self.registry.interim_tables
+            if table.has_limits and table.base.number == limit.table
+        ]
+
+    def _rows_in_grace(self, facts: StartFacts) -> int:
+        """Returns the rows with which all proxies can be bound beside what else may be queued."""
+        bases = self.tables.bases
+        bases_of_zone = [
+            [base for base in bases if base.serves_zone(zone)] for zone in range(facts.zones)
+        ]
+        lines_per_proxy = self.flow.urgent_lines_in_grace / max(1, facts.proxy_count)
+        rows = [
+            (lines_per_proxy - self._fixed_lines(bases)) / len(bases)
+            for bases in bases_of_zone
+            if bases
+        ]
+        return round(min(MAX_ROWS, max(MIN_ROWS, min(rows, default=MIN_ROWS))))
+
+    def _fixed_lines(self, bases: Sequence[RoutingTable]) -> int:
+        """Returns the lines of binding a proxy to interim tables of these, beside the rows."""
+        return self.registry.channel.message_overhead + sum(
+            self.tables.new_table(0, base).fixed_bind_lines() for base in bases
+        )
+
+    def _is_needed(self) -> bool:
+        registry = self.registry
+        bases = self.tables.bases
+        if self.first_weights.is_waiting or not any(base.published for base in bases):
+            return False
+        since_us = min(waiting.since_us for waiting in registry.unbound.values())
+        if self.drains.can_bind_in_time(since_us):
+            return False
+        lines_per_proxy = self.tables.rows * len(bases) + self._fixed_lines(bases)
+        return len(registry.unbound) * lines_per_proxy < self._withdrawal_lines()
+
+    def _withdrawal_lines(self) -> int:
+        """Returns the lines that notify the waiting proxies of all removed hosts instead."""
+        registry = self.registry
+        removed = [
+            index
+            for index in self.host_table.index_of.values()
+            if self.host_table.state[index] is not HostState.READY
+        ]
+        overhead = len(registry.unbound) * registry.channel.message_overhead
+        return overhead + sum(map(registry.unnotified_lines, removed))
+
+    def _fill_tables(self) -> None:
+        self.tables.fill()
+        for limit in self._limits.values():
+            for _, interim_limit in self.limits_like(limit):
+                self.registry.command(interim_limit, [])
--- a/plankroute/policy/publisher.py
+++ b/plankroute/policy/publisher.py
@@ -10,6 +10,7 @@
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.flow_control import PULSE_US, FlowControl, write_slot
 from plankroute.policy.host_table import HostTable
+from plankroute.policy.interim_binding import InterimBinder, LimitKey
 from plankroute.policy.slot_changes import SlotChanges, TargetSlots
 from plankroute.policy.slots import build_tables
 from plankroute.policy.subsetting import SubsetPolicy
@@ -25,8 +26,6 @@
 # guess.
 REMOVED_SHARE_WITHOUT_ENDPOINTS = 0.1
 
-LimitKey = tuple[int | None, tuple[int, ...] | None]
-
 
 class Publisher(ProxyRegistry):
     """Keeps the proxies and their tables, and decides what is written when.
@@ -65,10 +64,15 @@
         self.target = TargetSlots(host_table, tables, self.drains, self.subsetting, self.flow)
         self.slot_changes = SlotChanges(host_table, tables, self.target, self.drains, self.flow)
         self.binder = Binder(self, host_table, first_weights, self.flow)
+        self.interim_binder = InterimBinder(
+            self, tables, host_table, first_weights, self.drains, self.flow, facts
+        )
         self.written_us = -facts.message_window_us
         self.pending_limits: dict[LimitKey, commands.SetAdmissionLimit] = {}
         self._proxies_may_lack_endpoints = False
-        scheduler.out += open_limits(self.tables, facts.admission_unit)
+        for limit in open_limits(self.tables, facts.admission_unit):
+            self.interim_binder.note_limit(limit)
+            scheduler.out.append(limit)
 
     @property
     def withdrawn(self) -> set[int]:
@@ -81,6 +85,7 @@
         waits_us = [now - waiting.since_us for waiting in self.unbound.values()]
         return PublishingStatus(
             bound_proxies=len(self.bound),
+            interim_proxies=len(self.interim),
             waiting_proxies=len(waits_us),
             longest_wait_us=max(waits_us, default=0),
             overdue_proxies=sum(wait_us > self.flow.grace_slack_us for wait_us in waits_us),
@@ -139,12 +144,17 @@
             self.host_table.removed_share(zone) > REMOVED_SHARE_WITHOUT_ENDPOINTS
             for zone in self.unbound_zones()
         )
+        self.interim_binder.update()
+        self.drains.waiting_get_tables = self.interim_binder.is_active
         self.drains.reinstate()
         self.drains.sweep()
+        if self.interim_binder.is_active:
+            self.interim_binder.bind_waiting()
         self.write(is_turn)
         if not self.bound and not self.first_weights.is_waiting:
             self._fill_unused_tables()
-        self.binder.bind_waiting(self.withdrawn, self._proxies_may_lack_endpoints)
+        if not self.interim_binder.is_active:
+            self.binder.bind_waiting(self.withdrawn, self._proxies_may_lack_endpoints)
 
     def write(self, is_turn: bool) -> None:
         """Writes what is urgent as soon as a message can go, the rest once a turn if it fits."""
@@ -157,6 +167,7 @@
         changes = self.slot_changes.list_changes(now)
         changes.sort(key=lambda change: (-change.gain, change.index))
         urgent = [change for change in changes if change.urgent]
+        urgent += self.interim_binder.tables.urgent_changes()
         # A busy channel gathers changes, so that more lines share the overhead of a message.
         gathers = self.flow.is_busy(self) and since_us < self._gathering_us(urgent)
         if since_us < self.flow.min_gap_us or (gathers and not must_write_now):
@@ -164,6 +175,8 @@
         budget = self.drains.write(budget)
         for change in urgent:
             budget -= write_slot(self, self.host_table, change, budget)
+        if is_turn:
+            self.interim_binder.write_gathered(budget)
         has_time = is_turn and since_us >= 2 * self.flow.min_gap_us
         if self.channel.batch or (has_time and not self._proxies_may_lack_endpoints):
             ordinary_budget = self.flow.available_lines(self, self.flow.allowance) - overhead_lines
@@ -205,10 +218,16 @@
         """Writes the admission limits that fit; returns the lines left."""
         for key, limit in list(self.pending_limits.items()):
             assert limit.table is not None  # admission sets limits table by table
-            recipients = self.users(self.tables[limit.table])
-            if budget >= len(recipients):
-                budget -= len(recipients)
-                self.command(self.pending_limits.pop(key), recipients)
+            written = {limit: self.users(self.tables[limit.table])}
+            for table, interim_limit in self.interim_binder.limits_like(limit):
+                written[interim_limit] = self.users(table)
+            lines = sum(map(len, written.values()))
+            if budget < lines:
+                continue
+            budget -= lines
+            self.interim_binder.note_limit(self.pending_limits.pop(key))
+            for command, recipients in written.items():
+                self.command(command, recipients)
         return budget
 
     def _fill_unused_tables(self) -> None:
--- a/plankroute/policy/slots.py
+++ b/plankroute/policy/slots.py
@@ -36,7 +36,7 @@
         """
         weights = {
             host: host_table.capped_weight(host)
-            for host in self._hosts(host_table, withdrawn, subset)
+            for host in self.hosts(host_table, withdrawn, subset)
         }
         scale = self._slots_per_weight(host_table, weights)
         exact = {host: weight * scale for host, weight in weights.items()}
@@ -44,7 +44,9 @@
             host_table.effective_weight[host] = self.published[host] / scale
         return {host: max(1, count) for host, count in round_preserving_sum(exact).items()}
 
-    def _hosts(self, host_table: HostTable, withdrawn: set[int], subset: Subset) -> list[int]:
+    def hosts(
+        self, host_table: HostTable, withdrawn: set[int], subset: Subset = ALL_HOSTS
+    ) -> list[int]:
         """Returns the hosts that the table should hold.
 
         Guards against a table without hosts, and against all requests on a few hosts or on cold
--- a/plankroute/state/proxy_registry.py
+++ b/plankroute/state/proxy_registry.py
@@ -5,7 +5,7 @@
 
 from plankroute.events import commands, events
 from plankroute.state.channel import Channel
-from plankroute.state.published_table import PublishedTable
+from plankroute.state.published_table import InterimTable, PublishedTable
 from plankroute.state.publishing_status import LineKind
 from plankroute.state.scheduler import Actor, Scheduler, Tick
 
@@ -24,6 +24,7 @@
     commands.BindProxy: LineKind.BIND,
     commands.WithdrawHost: LineKind.WITHDRAWAL,
     commands.SetAdmissionLimit: LineKind.LIMIT,
+    commands.ClearTable: LineKind.SLOT,
 }
 
 
@@ -50,14 +51,17 @@
 class ProxyRegistry(Actor[RegistryEvent]):
     """Joined proxies, the tables and the channel to the proxies; storage, no decision.
 
-    A joined proxy is either bound to the tables, or unbound: it waits to be bound and uses the
-    tables that it joined with. Hosts are named by their index in the host statistics.
+    A joined proxy is either bound to the complete tables or to interim tables, or unbound: it waits
+    to be bound and uses the tables that it joined with. Hosts are named by their index in the host
+    statistics.
 
     Attributes:
-        tables: All tables of this controller.
+        tables: The complete tables of this controller.
+        interim_tables: Its interim tables.
         channel: Accounting of the lines in flight to the proxies.
         zone_of_proxy: Zone by joined proxy.
-        bound: Proxies that are bound.
+        bound: Proxies that are bound to complete tables.
+        interim: By proxy on interim tables, its usual rate of requests a second.
         unbound: The unbound proxies.
         returning: Joined proxies that came with older tables: they may keep hosts withdrawn that
             others withdrew.
@@ -70,9 +74,11 @@
     ) -> None:
         super().__init__(scheduler)
         self.tables: list[PublishedTable] = list(tables)
+        self.interim_tables: list[InterimTable] = []
         self.channel = channel
         self.zone_of_proxy: dict[int, int] = {}
         self.bound: set[int] = set()
+        self.interim: dict[int, float] = {}
         self.unbound: dict[int, WaitingProxy] = {}
         self.returning: set[int] = set()
         self.notified: dict[int, set[int]] = {}
@@ -89,6 +95,7 @@
     def leave(self, proxy: int) -> None:
         """Removes a proxy, if it is joined."""
         self.bound.discard(proxy)
+        self.leave_interim_tables(proxy)
         self.returning.discard(proxy)
         for proxies in self.notified.values():
             proxies.discard(proxy)
@@ -96,6 +103,30 @@
         self.unbound.pop(proxy, None)
         self.channel.disconnect(proxy)
 
+    def enter_complete_tables(self, proxy: int) -> None:
+        """Notes that a proxy was bound to complete tables."""
+        self.unbound.pop(proxy, None)
+        self.leave_interim_tables(proxy)
+        self.bound.add(proxy)
+
+    def enter_interim_tables(self, proxy: int, tables: Iterable[InterimTable]) -> None:
+        """Notes that an unbound proxy was bound to interim tables."""
+        rate = self.unbound.pop(proxy).usual_rate
+        self.interim[proxy] = rate
+        for table in tables:
+            table.users.add(proxy)
+            table.rate += rate
+
+    def leave_interim_tables(self, proxy: int) -> None:
+        """Notes that a proxy uses interim tables no longer, if it did."""
+        rate = self.interim.pop(proxy, None)
+        if rate is None:
+            return
+        for table in self.interim_tables:
+            if proxy in table.users:
+                table.users.remove(proxy)
+                table.rate -= rate
+
     def unbound_zones(self) -> set[int]:
         """Returns the zones of unbound proxies that have only the tables that they began with."""
         return {
@@ -120,7 +151,9 @@
         return len(recent)
 
     def users(self, table: PublishedTable) -> list[int]:
-        """Returns the bound proxies that use the table."""
+        """Returns the proxies that are bound to the table."""
+        if isinstance(table, InterimTable):
+            return sorted(table.users)
         return [proxy for proxy in self.bound if table.serves_zone(self.zone_of_proxy[proxy])]
 
     def recipients(
@@ -153,20 +186,16 @@
             self.scheduler.out.append(commands.RequestAcknowledgement(sequence_number))
 
     def tables_with(self, host: int) -> list[PublishedTable]:
-        """Returns the tables that hold a host (by index)."""
+        """Returns the complete tables that hold a host (by index)."""
         return [table for table in self.tables if host in table.published]
 
-    def withdrawal_lines(self, host: int) -> int:
-        """Returns the lines that notify all proxies that may use a host of its withdrawal.
+    def interim_tables_with(self, host: int) -> list[InterimTable]:
+        """Returns the interim tables that hold a host (by index)."""
+        return [table for table in self.interim_tables if host in table.published]
 
-        These are the users of the one table that holds it, whose slots just go, and the unbound
-        proxies not yet notified; all joined proxies if several tables hold it.
-        """
-        tables = self.tables_with(host)
-        if len(tables) > 1:
-            return len(self.zone_of_proxy)
-        not_notified = self.unbound.keys() - self.notified.get(host, set())
-        return len(not_notified) + sum(len(self.users(table)) for table in tables)
+    def unnotified_lines(self, host: int) -> int:
+        """Returns the lines that notify the unbound proxies of a host's withdrawal."""
+        return len(self.unbound.keys() - self.notified.get(host, set()))
 
     def mark_notified(self, host: int, proxies: Iterable[int]) -> list[int]:
         """Marks the proxies as notified of a host's withdrawal.
--- a/plankroute/state/published_table.py
+++ b/plankroute/state/published_table.py
@@ -17,6 +17,7 @@
         machine_types: Machine types that it may hold, or None if it may hold any.
         proxy_zone: The zone whose proxies use it, or None if those of all zones do.
         request_classes: Indexes of the request classes that it is for.
+        has_limits: Whether admission limits are written for it.
         published: Slots by host, as last written to the channel; never 0.
     """
 
@@ -25,6 +26,7 @@
     machine_types: tuple[int, ...] | None
     proxy_zone: int | None
     request_classes: list[int] = field(default_factory=list)
+    has_limits: bool = True
     published: dict[int, int] = field(default_factory=dict)
 
     def admits(self, hosts: HostStatistics, index: int) -> bool:
@@ -45,12 +47,15 @@
             withdrawn: Hosts whose withdrawal, or its end, the proxy has to be told of: those that
                 the table holds cost a line each beside their slots.
         """
-        bind_line = 1
-        limit_lines = 2 * len(
-            self.request_classes
-        )  # of each request class: the limit, the retry policy
         withdrawal_lines = len(self.published.keys() & withdrawn)
-        return bind_line + len(self.published) + limit_lines + withdrawal_lines
+        return self.fixed_bind_lines() + len(self.published) + withdrawal_lines
+
+    def fixed_bind_lines(self) -> int:
+        """Returns the lines of a bind beside those of the hosts."""
+        bind_line = 1
+        # Of each request class: the limit, the retry policy.
+        limit_lines = 2 * len(self.request_classes) if self.has_limits else 0
+        return bind_line + limit_lines
 
     def set_slots(self, index: int, count: int) -> None:
         """Notes the slots that were just published for a host; 0 removes it."""
@@ -60,6 +65,21 @@
             self.published.pop(index, None)
 
 
+@dataclass(eq=False, slots=True, kw_only=True)
+class InterimTable(PublishedTable):
+    """A small table for proxies that can not be bound to a complete one in time.
+
+    Attributes:
+        base: The complete table from whose hosts it has a few.
+        users: The proxies that are bound to it.
+        rate: Requests a second that these usually get.
+    """
+
+    base: PublishedTable
+    users: set[int] = field(default_factory=set)
+    rate: float = 0.0
+
+
 @dataclass(slots=True)
 class Change:
     """A host's slots in one table that differ from those published.
--- a/plankroute/state/publishing_status.py
+++ b/plankroute/state/publishing_status.py
@@ -20,7 +20,8 @@
     """The proxies and the channel at one moment.
 
     Attributes:
-        bound_proxies: Joined proxies that use this controller's tables.
+        bound_proxies: Joined proxies that use this controller's complete tables.
+        interim_proxies: Joined proxies that use its interim tables.
         waiting_proxies: Joined proxies that still use the tables they came with.
         longest_wait_us: How long the first of those has waited.
         overdue_proxies: Those that have waited longer than the drain grace leaves after the longest
@@ -32,6 +33,7 @@
     """
 
     bound_proxies: int
+    interim_proxies: int
     waiting_proxies: int
     longest_wait_us: int
     overdue_proxies: int
--- a/tests/net/test_publishing_log.py
+++ b/tests/net/test_publishing_log.py
@@ -13,6 +13,7 @@
 def status(waiting: int, overdue: int, binds: int) -> PublishingStatus:
     return PublishingStatus(
         bound_proxies=5,
+        interim_proxies=0,
         waiting_proxies=waiting,
         longest_wait_us=1_500_000,
         overdue_proxies=overdue,
--- /dev/null
+++ b/tests/policy/test_interim_tables.py
@@ -0,0 +1,141 @@
+"""Interim tables share out all hosts, and follow the hosts that leave, come and warm up."""
+
+import pytest
+from support.controller_bench import probes
+from support.controller_model import (
+    DRAINING,
+    SECOND,
+    Bench,
+    changes,
+    entry,
+    full,
+    start_facts,
+)
+
+from plankroute.events import commands, events
+from plankroute.events.facts import AdmissionUnit
+from plankroute.policy.publisher import Publisher
+from plankroute.state.published_table import InterimTable
+
+HOSTS = range(100, 220)
+NEWCOMERS = range(10, 58)
+
+
+def bench_on_interim_tables(**facts: object) -> Bench:
+    """A controller with a few proxies, to which those of others come while many hosts drain."""
+    bench = Bench(
+        start_facts(
+            **{
+                "channel_lines_per_s": 800.0,
+                "backlog_cap_lines": 3000,
+                "drain_grace_us": 4 * SECOND,
+                "max_unbound_us": 8 * SECOND,
+                "one_way_delay_us": 100_000,
+                "proxy_count": 60,
+                "health_checks_allowed": False,
+                **facts,
+            }
+        )
+    )
+    bench.give(full(*[entry(host, zone=host % 3) for host in HOSTS]))
+    bench.give(*[events.ProxyJoined(proxy, proxy % 3, 10.0, True) for proxy in range(4)])
+    bench.pass_time(5 * SECOND)
+    bench.give(changes(*[entry(host, DRAINING, host % 3) for host in HOSTS[:50]]))
+    bench.pass_time(SECOND)
+    bench.give(
+        *[events.ProxyJoined(proxy, proxy % 3, 5.0 + proxy % 4, False) for proxy in NEWCOMERS]
+    )
+    bench.pass_time(SECOND // 5)
+    assert bench.controller.publisher.interim
+    return bench
+
+
+def used_tables(publisher: Publisher) -> list[InterimTable]:
+    return [table for table in publisher.interim_tables if table.users]
+
+
+def hosts_in(bench: Bench, table: InterimTable) -> set[int]:
+    return set(bench.lines[table.number])
+
+
+def test_each_ready_host_is_in_one_interim_table_and_the_load_of_all_is_even() -> None:
+    bench = bench_on_interim_tables()
+    publisher = bench.controller.publisher
+    held = [host for table in publisher.interim_tables for host in hosts_in(bench, table)]
+    assert sorted(held) == list(HOSTS[50:])
+    rates = [table.rate / sum(table.published.values()) for table in publisher.interim_tables]
+    assert max(rates) < 1.5 * min(rates)
+
+
+def test_a_host_that_drains_leaves_its_interim_table_and_a_new_host_comes() -> None:
+    bench = bench_on_interim_tables()
+    publisher = bench.controller.publisher
+    drained = min(hosts_in(bench, used_tables(publisher)[0]))
+    bench.give(
+        changes(entry(drained, DRAINING, drained % 3), entry(999, zone=0, started_us=bench.now))
+    )
+    bench.pass_time(2 * SECOND)
+    holders = [table for table in used_tables(publisher) if 999 in hosts_in(bench, table)]
+    assert len(holders) == 1
+    assert bench.lines[holders[0].number][999] < max(bench.lines[holders[0].number].values())
+    assert not any(drained in hosts_in(bench, table) for table in publisher.interim_tables)
+
+
+def test_an_interim_table_that_loses_most_of_its_hosts_gets_others() -> None:
+    """Guards against proxies without a host to pick."""
+    bench = bench_on_interim_tables()
+    table = used_tables(bench.controller.publisher)[0]
+    drained = hosts_in(bench, table)
+    bench.give(changes(*[entry(host, DRAINING, host % 3) for host in drained]))
+    bench.pass_time(SECOND)
+    assert len(hosts_in(bench, table) - drained) >= len(drained) // 2
+
+
+def test_the_last_hosts_of_an_interim_table_stay_where_no_others_can_be_had() -> None:
+    """Guards against proxies without a host to pick: all hosts are ejected together."""
+    bench = bench_on_interim_tables()
+    host_table = bench.controller.host_table
+    for index in host_table.ready():
+        host_table.ejected[index] = True
+        host_table.unreachable[index] = True
+    bench.pass_time(SECOND)
+    assert all(hosts_in(bench, table) for table in used_tables(bench.controller.publisher))
+
+
+def test_a_cold_host_gets_no_more_of_an_interim_table_than_its_capacity() -> None:
+    bench = bench_on_interim_tables()
+    table = used_tables(bench.controller.publisher)[0]
+    host = min(hosts_in(bench, table))
+    bench.give(changes(entry(host, zone=host % 3, started_us=bench.now)))
+    bench.pass_time(SECOND // 2)
+    usual = max(bench.lines[table.number].values())
+    assert bench.lines[table.number].get(host, 0.0) <= usual / 2
+
+
+@pytest.mark.parametrize("unit", [AdmissionUnit.SHARE, AdmissionUnit.RATE])
+def test_admission_limits_hold_for_proxies_on_interim_tables(unit: AdmissionUnit) -> None:
+    bench = bench_on_interim_tables(admission_unit=unit)
+    publisher = bench.controller.publisher
+    publisher.handle(commands.SetAdmissionLimit(0, (0,), 0.5, commands.RetryPolicy.IF_NOT_EXECUTED))
+    bench.pass_time(2 * SECOND)
+    limited = {order.table for order in bench.levels if order.limit == 0.5}
+    assert limited >= {0, *(table.number for table in used_tables(publisher))}
+
+
+def test_all_proxies_of_the_fleet_fit_the_grace_beside_ordinary_lines() -> None:
+    bench = bench_on_interim_tables()
+    publisher = bench.controller.publisher
+    rows = publisher.interim_binder.tables.rows
+    lines = (rows + 2 + bench.facts.message_overhead_lines) * bench.facts.proxy_count
+    slack_us = bench.facts.drain_grace_us - bench.facts.max_one_way_delay_us
+    carried = bench.facts.channel_lines_per_s * slack_us / SECOND
+    assert lines + publisher.flow.allowance <= carried * 1.01
+
+
+def test_a_proxy_that_leaves_is_on_no_interim_table() -> None:
+    bench = bench_on_interim_tables()
+    publisher = bench.controller.publisher
+    bench.give(*[events.ProxyLeft(proxy) for proxy in NEWCOMERS])
+    assert not publisher.interim and not used_tables(publisher)
+    assert not probes(bench.log)
+    assert all(abs(table.rate) < 1e-6 for table in publisher.interim_tables)
