Interim tables wherever a host is removed; their ordinary changes keep the allowance

Three causes, each shown by the times at which messages enter and leave the channel of the stand-ins: - where withdrawals took fewer lines they went first, and interim tables followed on top of them as more hosts drained: a removed host was in use for 3.58 to 3.66 s of 3.5 (limit 3.8).

--- a/plankroute/policy/interim_binding.py
+++ b/plankroute/policy/interim_binding.py
@@ -85,10 +85,14 @@
                 break
             registry.enter_interim_tables(proxy, tables)
 
-    def write_gathered(self, budget: float) -> None:
+    def write_gathered(self) -> None:
         """Writes the changes of interim tables that gather, if it is time for them and they fit."""
-        now = self.registry.scheduler.now
-        if not self.registry.interim or now - self._gathered_us < self.flow.max_gap_us:
+        registry = self.registry
+        now = registry.scheduler.now
+        overhead_lines = len(registry.interim) * registry.channel.message_overhead
+        budget = self.flow.available_lines(registry, self.flow.allowance) - overhead_lines
+        is_due = now - self._gathered_us >= self.flow.max_gap_us
+        if not registry.interim or not is_due or budget <= 0:
             return
         self._gathered_us = now
         for change in self.tables.ordinary_changes():
@@ -136,19 +140,11 @@
         since_us = min(waiting.since_us for waiting in registry.unbound.values())
         if self.drains.can_bind_in_time(since_us):
             return False
-        lines_per_proxy = self.tables.rows * len(bases) + self._fixed_lines(bases)
-        return len(registry.unbound) * lines_per_proxy < self._withdrawal_lines()
-
-    def _withdrawal_lines(self) -> int:
-        """Returns the lines that notify the waiting proxies of all removed hosts instead."""
-        registry = self.registry
-        removed = [
-            index
+        # Without removed hosts old tables do no harm while they wait.
+        return any(
+            self.host_table.state[index] is not HostState.READY
             for index in self.host_table.index_of.values()
-            if self.host_table.state[index] is not HostState.READY
-        ]
-        overhead = len(registry.unbound) * registry.channel.message_overhead
-        return overhead + sum(map(registry.unnotified_lines, removed))
+        )
 
     def _fill_tables(self) -> None:
         self.tables.fill()
--- a/plankroute/policy/publisher.py
+++ b/plankroute/policy/publisher.py
@@ -22,8 +22,7 @@
 from plankroute.state.scheduler import Scheduler, Tick
 
 # Share of a zone's hosts that are removed, from which on proxies that wait there may have no
-# endpoint left: the few hosts of the table that a proxy starts with are drawn from its zone. A
-# guess.
+# endpoint left: the few hosts of the table that a proxy starts with are drawn from its zone.
 REMOVED_SHARE_WITHOUT_ENDPOINTS = 0.1
 
 
@@ -176,7 +175,7 @@
         for change in urgent:
             budget -= write_slot(self, self.host_table, change, budget)
         if is_turn:
-            self.interim_binder.write_gathered(budget)
+            self.interim_binder.write_gathered()
         has_time = is_turn and since_us >= 2 * self.flow.min_gap_us
         if self.channel.batch or (has_time and not self._proxies_may_lack_endpoints):
             ordinary_budget = self.flow.available_lines(self, self.flow.allowance) - overhead_lines
