--- a/plankroute/cli/testbed_commands.py
+++ b/plankroute/cli/testbed_commands.py
@@ -263,6 +263,66 @@
         report_path.write_text(report.page(summed))
 
 
+@testbed.command("soak")
+@click.option(
+    "--seeds",
+    "seed_range",
+    default="1:3",
+    show_default=True,
+    metavar="A:B",
+    help="Seeds from A to B, played one after another.",
+)
+@click.option(
+    "--seconds",
+    default=25.0,
+    show_default=True,
+    type=click.FloatRange(10.0, 3600.0),
+    help="Length of each play.",
+)
+@click.option(
+    "--net",
+    default=90,
+    show_default=True,
+    type=click.IntRange(1, 249),
+    help="Loopback network; soaks that run at once need different ones.",
+)
+@click.option("--json", "json_path", type=FILE_PATH, help="Write all results to this file as well.")
+def soak(seed_range: str, seconds: float, net: int, json_path: Path | None) -> None:
+    """Run real controllers under signals, kills, releases and floods, and judge the rules."""
+    from plankroute.testbed.soak import run_soak
+
+    results = []
+    for seed in parse_seeds(seed_range):
+        result = asyncio.run(run_soak(seed, seconds, net))
+        results.append(result)
+        click.echo(result.summary())
+        for what in [*result.rules_broken.values(), *result.problems]:
+            click.echo(f"  {what}")
+        if not result.is_good():
+            click.echo(
+                f"  again: python -m plankroute testbed soak --seeds {seed}:{seed} "
+                f"--seconds {seconds:g}"
+            )
+    good = sum(result.is_good() for result in results)
+    click.echo(f"{good} of {len(results)} seeds good")
+    if json_path:
+        write_json(json_path, results)
+    if good < len(results):
+        sys.exit(EXIT_FAILED)
+
+
+def parse_seeds(text: str) -> range:
+    """Returns the seeds of `A:B`, both included.
+
+    Raises:
+        click.BadParameter: It is no such range.
+    """
+    first, separator, last = text.partition(":")
+    if not separator or not first.isdigit() or not last.isdigit() or int(last) < int(first):
+        raise click.BadParameter(f"{text!r} is no range A:B", param_hint="--seeds")
+    return range(int(first), int(last) + 1)
+
+
 @testbed.command("write-kills")
 @click.option(
     "--kills",
--- a/plankroute/testbed/checkers.py
+++ b/plankroute/testbed/checkers.py
@@ -9,7 +9,7 @@
 
 PRESENT = ("joined", "recovered")  # status changes after which a member counts as there
 VERDICTS = ("failed", "left", *PRESENT)  # suspicions are none
-# Microseconds after a process has ended in which news of it may still be on their way; a guess.
+# Microseconds after a process has ended in which news of it may still be on their way.
 NEWS_ON_THEIR_WAY_US = 3_000_000
 
 
--- a/plankroute/testbed/list_service.py
+++ b/plankroute/testbed/list_service.py
@@ -7,7 +7,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Iterable
 from enum import Enum
 from typing import Any
 
@@ -164,10 +164,15 @@
 
     def change(self, host: int, **fields: object) -> None:
         """Changes fields of an entry, and sends the change to all watches."""
-        self.revision += 1
         self.targets[host] = {**self.targets[host], **fields}
-        self.changes.append((self.revision, self.targets[host]))
-        chunk = self.chunk(False, [self.targets[host]])
+        self.send_changes([host])
+
+    def send_changes(self, hosts: Iterable[int]) -> None:
+        """Sends the entries of these hosts, which are in the list already, to all watches."""
+        self.revision += 1
+        changed = [self.targets[host] for host in hosts]
+        self.changes += [(self.revision, entry) for entry in changed]
+        chunk = self.chunk(False, changed)
         for writer in list(self.watches):
             self.write(writer, chunk)
 
--- a/plankroute/testbed/processes.py
+++ b/plankroute/testbed/processes.py
@@ -256,6 +256,12 @@
         if process and process.returncode is None:
             process.send_signal(SIGNALS[step.act])
 
+    def send_reload(self, member: int) -> None:
+        """Sends SIGHUP to a member's process, if it runs."""
+        process = self.running.get(member)
+        if process and process.returncode is None:
+            process.send_signal(signal.SIGHUP)
+
     async def launch(self) -> bool:
         """Opens links and starts all members that are there from the start.
 
