--- a/plankroute/cli/state.py
+++ b/plankroute/cli/state.py
@@ -20,7 +20,7 @@
 from plankroute.warm_start.codec import MAX_FILE_BYTES, FileProblem, decode_file, decode_snapshot
 from plankroute.warm_start.snapshot import HostKnowledge, Snapshot
 
-ANSWER_TIMEOUT_S = 2.0  # a guess: a controller answers within milliseconds
+ANSWER_TIMEOUT_S = 2.0  # a controller answers within milliseconds
 ASKING_NAME = "state-show"  # no controller's name: nothing was handed over for it
 HEADINGS = ("host", "age", "weight", "failed", "ejected", "counts for")
 
--- a/plankroute/cold_start/backoff.py
+++ b/plankroute/cold_start/backoff.py
@@ -9,18 +9,18 @@
 
 from plankroute.seeded_random import SeededRandom
 from plankroute.token_bucket import TokenBucket
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
-# Of a round: requests come a little slower than the service can answer. A guess.
+# Of a round: requests come a little slower than the service can answer.
 ROUND_SLACK = 1.05
-# The shortest round, of a small group: between requests to a service in trouble. A guess.
+# The shortest round, of a small group: between requests to a service in trouble.
 MIN_ROUND_US = SECOND_US // 2
-# Rounds of the same length come first: most outages are over by then. A guess.
+# Rounds of the same length come first: most outages are over by then.
 STEADY_ROUNDS = 3
-ROUND_GROWTH = 1.5  # a guess
-# Rounds grow up to that many base lengths, as far as the configured longest pause allows. A guess.
+ROUND_GROWTH = 1.5
+# Rounds grow up to that many base lengths, as far as the configured longest pause allows.
 MAX_GROWTH = 4
-# Retries beyond one a round: watches that end soon after they came up. A guess.
+# Retries beyond one a round: watches that end soon after they came up.
 RETRY_BURST = 3
 
 
--- a/plankroute/cold_start/drain_notices.py
+++ b/plankroute/cold_start/drain_notices.py
@@ -8,9 +8,9 @@
 from dataclasses import dataclass
 
 from plankroute.events.events import HostState
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
-# Of the hosts that are listed: a peer's notices alone must leave proxies somebody to pick. A guess.
+# Of the hosts that are listed: a peer's notices alone must leave proxies somebody to pick.
 MAX_CLOSED_PART = 0.5
 # Without the list that was announced: as long as a first list may take (`MAX_FIRST_LIST_US` of
 # `followed_links.py`).
--- a/plankroute/cold_start/endpoint_list.py
+++ b/plankroute/cold_start/endpoint_list.py
@@ -10,7 +10,7 @@
 
 import orjson
 
-# Kept: more than an hour of releases; who is further behind gets the complete list. A guess.
+# Kept: more than an hour of releases; who is further behind gets the complete list.
 MAX_CHANGES = 4096
 NO_REVISION = -1  # no list yet
 DELETED = "DELETED"
--- a/plankroute/cold_start/followed_controllers.py
+++ b/plankroute/cold_start/followed_controllers.py
@@ -12,8 +12,8 @@
 )
 from plankroute.cold_start.followed_links import FollowedLink
 from plankroute.cold_start.rendezvous import rendezvous_order
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
 # A controller that was left is avoided for two probe time-outs of membership, which tells by then
 # if it has failed.
 AVOID_US = 10 * SECOND_US
--- a/plankroute/cold_start/followed_links.py
+++ b/plankroute/cold_start/followed_links.py
@@ -6,13 +6,14 @@
 from dataclasses import dataclass
 from enum import Enum, auto
 
-SECOND_US = 1_000_000
+from plankroute.units import SECOND_US
+
 # Contact with the service is fresh while no older: the service sends something each 2 s.
 FRESH_US = 3 * SECOND_US
 NEVER_HEARD_US = 1 << 40  # the age of a contact that never was, as sent in heartbeats
-# Behind the other's contact: the controller is cut off from the service. A guess.
+# Behind the other's contact: the controller is cut off from the service.
 OLD_US = 5 * SECOND_US
-# All that are followed may be cut off from the service: it is asked then. A guess.
+# All that are followed may be cut off from the service: it is asked then.
 STALE_US = 10 * SECOND_US
 # A first list that takes longer never ends: 3 MB on a link of 50 KB/s.
 MAX_FIRST_LIST_US = 60 * SECOND_US
--- a/plankroute/cold_start/probe_sharing.py
+++ b/plankroute/cold_start/probe_sharing.py
@@ -8,9 +8,9 @@
 
 from plankroute.cold_start.rendezvous import HASH_SPAN, rendezvous_hash, rendezvous_order
 
-# Hosts to be checked at once, from which on it is a survey; suspects are fewer. A guess.
+# Hosts to be checked at once, from which on it is a survey; suspects are fewer.
 SURVEY_MIN_HOSTS = 8
-# A result that is older tells of another time. A guess.
+# A result that is older tells of another time.
 MAX_RESULT_AGE_US = 2_000_000
 # For others' results: as long as first weights wait for health checks.
 RESULT_WAIT_US = 250_000
--- a/plankroute/cold_start/retry_after.py
+++ b/plankroute/cold_start/retry_after.py
@@ -2,7 +2,8 @@
 
 from email.utils import parsedate_to_datetime
 
-SECOND_US = 1_000_000
+from plankroute.units import SECOND_US
+
 MAX_DIGITS = 9  # of seconds: thirty years; what is longer is nonsense
 
 
--- a/plankroute/cold_start/watcher_election.py
+++ b/plankroute/cold_start/watcher_election.py
@@ -23,21 +23,21 @@
 from plankroute.cold_start.followed_controllers import AVOID_US, FollowedControllers
 from plankroute.cold_start.followed_links import Finding, compare_links
 from plankroute.cold_start.rendezvous import rendezvous_order
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
-# Of the configured controllers: with so many in view nearly all elect the same watchers. A guess.
+# Of the configured controllers: with so many in view nearly all elect the same watchers.
 READY_PART = 0.8
 # Without them: a group of hundreds has come together by then.
 SETTLE_US = 4 * SECOND_US
-# In company, and nobody new for so long: these are all there are. A guess.
+# In company, and nobody new for so long: these are all there are.
 QUIET_US = 3 * SECOND_US // 2
-# A controller that claimed a revision which the service does not know is avoided. A guess.
+# A controller that claimed a revision which the service does not know is avoided.
 AVOID_FALSE_REVISION_US = 60 * SECOND_US
 # A claim counts as contradicted by the service while it is no older.
 RECENT_HEARTBEAT_US = SECOND_US
 # Two that are followed may differ for so long: a revision is on its way.
 MAX_DIFFERENCE_US = 2 * SECOND_US
-# Without anybody to follow, before the service itself is watched. A guess.
+# Without anybody to follow, before the service itself is watched.
 INDEPENDENT_AFTER_US = 3 * SECOND_US
 # A controller that is no watcher any more watches on for so long: the next one comes up.
 HANDOVER_US = 2 * SECOND_US
--- a/plankroute/membership/anti_entropy.py
+++ b/plankroute/membership/anti_entropy.py
@@ -12,7 +12,7 @@
 from plankroute.membership.records import MemberRecord
 from plankroute.token_bucket import TokenBucket
 
-# Exchanges a second that a member begins, and that it serves, with what may pile up. A guess.
+# Exchanges a second that a member begins, and that it serves, with what may pile up.
 EXCHANGES_PER_SECOND = 1.0
 EXCHANGE_BURST = 2.0
 OVERHEAD_BYTES = 96  # of a datagram: header, tags, wanted buckets
--- a/plankroute/membership/core.py
+++ b/plankroute/membership/core.py
@@ -43,9 +43,9 @@
 
 # Time-outs are counted in tenths of a second; ten wake-ups a second cost next to nothing.
 TICK_US = 100_000
-# Without a message from anybody: the program is told. A guess: two probe time-outs.
+# Without a message from anybody: the program is told. Two probe time-outs.
 ISOLATED_AFTER_US = 5_000_000
-# Between looks for members that failed or left long ago. A guess.
+# Between looks for members that failed or left long ago.
 CLEAN_UP_INTERVAL_US = 10_000_000
 
 
--- a/plankroute/membership/detector.py
+++ b/plankroute/membership/detector.py
@@ -8,8 +8,8 @@
 
 from plankroute.membership.sampling import draw_below
 from plankroute.seeded_random import SeededRandom
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
 # Between the pings of a probe: thirteen in the usual time-out. With 30% of datagrams lost one probe
 # in 90,000 then goes unanswered, and 300 members send 1.3 KB/s each; at 350 ms it is one in 500,
 # and the suspicions and refutations that follow make it 4 KB/s (membership benchmark).
--- a/plankroute/membership/dissemination.py
+++ b/plankroute/membership/dissemination.py
@@ -18,7 +18,7 @@
 # Members that hear of a change at once: it doubles and more at each hop, with a third of datagrams
 # lost.
 FANOUT = 3
-# Datagrams with new records a second, and at once: beyond, records are piggybacked. A guess.
+# Datagrams with new records a second, and at once: beyond, records are piggybacked.
 BROADCASTS_PER_SECOND = 20
 BROADCAST_BURST = 30
 # Between two broadcasts: the records of a storm are gathered, so that each datagram is full.
--- a/plankroute/membership/facts.py
+++ b/plankroute/membership/facts.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, replace
 
-# Bytes, a guess: below the usual limit of every path (1,280 for IPv6), so that no datagram is
-# fragmented on its way.
+# Bytes: below the usual limit of every path (1,280 for IPv6), so that no datagram is fragmented on
+# its way.
 MAX_DATAGRAM_BYTES = 1200
 
 
--- a/plankroute/membership/gossip.py
+++ b/plankroute/membership/gossip.py
@@ -8,8 +8,8 @@
 # Each record rides this often per doubling of the group; tables that differ after it are compared
 # by anti-entropy (docs/membership.md).
 TRANSMISSIONS_PER_DOUBLING = 1
-MAX_PER_DATAGRAM = 16  # a guess: what fits at the usual record size; fewer make a storm last
-MAX_QUEUED = 1024  # a guess: a larger change is left to the comparison of tables
+MAX_PER_DATAGRAM = 16  # what fits at the usual record size; fewer make a storm last
+MAX_QUEUED = 1024  # a larger change is left to the comparison of tables
 
 
 class GossipQueue:
--- a/plankroute/membership/local_health.py
+++ b/plankroute/membership/local_health.py
@@ -7,9 +7,9 @@
 
 # A wake-up later than that was slept through: twice a tick, several times the delay of a busy loop.
 LATE_WAKE_US = 200_000
-# After a pause: the datagrams that wait are read first, and acks to them arrive. A guess.
+# After a pause: the datagrams that wait are read first, and acks to them arrive.
 SETTLE_US = 200_000
-# Within it others come to the same suspicion, if it is true. A guess, below the probe time-out.
+# Within it others come to the same suspicion, if it is true. Below the probe time-out.
 CONFIRMATION_WINDOW_US = 2_000_000
 # Each suspicion that nobody shares stretches time-outs by a quarter, to twice at most.
 MULTIPLIER_STEP = 0.25
--- a/plankroute/membership/member_table.py
+++ b/plankroute/membership/member_table.py
@@ -9,7 +9,7 @@
 
 from plankroute.membership.records import MemberRecord, MemberState, canonical, merge_records
 
-# Four times the largest group that was measured; guards against a peer that invents members.
+# Guards against a peer that invents members.
 MAX_MEMBERS = 4096
 BUCKETS = 32  # of the sums by which tables are compared: at 1,000 members one fills a datagram
 SUM_BYTES = 8
--- a/plankroute/membership/name_claim.py
+++ b/plankroute/membership/name_claim.py
@@ -10,8 +10,8 @@
 
 from plankroute.membership.records import MemberRecord, MemberState, merge_records
 
-# After its start a process may claim a name that another instance still seems to hold. A guess:
-# longer than a group takes to come together.
+# After its start a process may claim a name that another instance still seems to hold. Longer than
+# a group takes to come together.
 CLAIM_WINDOW_US = 10_000_000
 MAX_INCARNATION = (1 << 62) - 1  # what lies beyond was never counted up to
 
--- a/plankroute/membership/reconnect.py
+++ b/plankroute/membership/reconnect.py
@@ -6,9 +6,9 @@
 from plankroute.membership.sampling import draw_below
 from plankroute.seeded_random import SeededRandom
 
-# Between pings to a seed, or to a failed member: a cut heals without anybody's help. A guess.
+# Between pings to a seed, or to a failed member: a cut heals without anybody's help.
 INTERVAL_US = 1_000_000
-SEED_SHARE = 0.3  # of these pings go to seeds, where there are both. A guess.
+SEED_SHARE = 0.3  # of these pings go to seeds, where there are both.
 
 
 class Reconnector:
--- a/plankroute/membership/suspicion.py
+++ b/plankroute/membership/suspicion.py
@@ -8,10 +8,9 @@
 ALWAYS_ENOUGH = 4
 # Confirmations from which on the program is told: one member alone is most often wrong.
 NOTIFIED_FROM = 2
-# Of the group: half of it, less a few that are suspected wrongly, must not wait. A guess.
+# Of the group: half of it, less a few that are suspected wrongly, must not wait.
 MINORITY_PART = 0.4
-# Of the probe time-out: a failure that nobody here suspected waits that long to be refuted. A
-# guess.
+# Of the probe time-out: a failure that nobody here suspected waits that long to be refuted.
 CONTEST_PART = 0.7
 
 
--- a/plankroute/net/discovery/backoff_watch.py
+++ b/plankroute/net/discovery/backoff_watch.py
@@ -18,8 +18,8 @@
 from plankroute.net.discovery.http_client import Call
 from plankroute.net.discovery.watch import Discovery
 from plankroute.net.process.clock import monotonic_us as now_us
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
 AGE_CHECK_S = 0.5  # between looks at how old the list is
 
 
--- a/plankroute/net/discovery/catalogue.py
+++ b/plankroute/net/discovery/catalogue.py
@@ -12,7 +12,7 @@
 
 MEMBERS = "/catalog/members"
 STATES = {"SERVING": HostState.READY, "DRAINING": HostState.DRAINING, "DELETED": HostState.GONE}
-MAX_CELL = 2**16  # a guess: no fleet has as many cells
+MAX_CELL = 2**16  # no fleet has as many cells
 NOT_IN_NAMES = frozenset(" ,:=+\r\n")  # they would break a line to a proxy
 
 
--- a/plankroute/net/discovery/directory.py
+++ b/plankroute/net/discovery/directory.py
@@ -8,7 +8,7 @@
 from plankroute.net.discovery.catalogue import EndpointList, ListEntry
 from plankroute.net.process.clock import Clock
 
-ORDER_KEY_BYTES = 64  # of a host's name, a guess: no fleet's names differ later
+ORDER_KEY_BYTES = 64  # of a host's name: no fleet's names differ later
 
 
 @dataclass(slots=True)
--- a/plankroute/net/discovery/http_client.py
+++ b/plankroute/net/discovery/http_client.py
@@ -13,7 +13,7 @@
 from plankroute.net.process.errors import CallFailure, CallProgress
 
 READ_BYTES = 65536
-# A guess, of a body within the idle timeout: a slow network path brings them, a drip does not.
+# Of a body within the idle timeout: a slow network path brings them, a drip does not.
 PROGRESS_BYTES = 4096
 
 
--- a/plankroute/net/discovery/watch.py
+++ b/plankroute/net/discovery/watch.py
@@ -23,9 +23,9 @@
 from plankroute.net.proxies.ring_buffer import MemoryPool
 from plankroute.seeded_random import SeededRandom
 
-CONNECT_TIMEOUT_S = 1.0  # a guess
+CONNECT_TIMEOUT_S = 1.0
 IDLE_TIMEOUT_S = 3.0  # discovery sends a sign of life every 2 s
-# A guess: the pause before a new watch, by half either way. The platform allows 6 s for a change.
+# The pause before a new watch, by half either way. The platform allows 6 s for a change.
 RETRY_PAUSE_S = 0.3
 MAX_LOGGED_ENTRIES = 30  # of a list
 MAX_LOGGED_TEXT = 200  # characters of what came instead of a list
--- a/plankroute/net/peers/link_client.py
+++ b/plankroute/net/peers/link_client.py
@@ -7,7 +7,7 @@
 from plankroute.cold_start.link_codec import Frame, FrameDecoder, Hello, encode_frame
 from plankroute.net.peers.link_frames import READ_BYTES
 
-CONNECT_TIMEOUT_S = 1.0  # a guess
+CONNECT_TIMEOUT_S = 1.0
 # Waiting for the kernel: a part of a list being written, and the next.
 MAX_UNSENT_BYTES = 65536
 
--- a/plankroute/net/peers/link_server.py
+++ b/plankroute/net/peers/link_server.py
@@ -27,7 +27,7 @@
 from plankroute.net.peers.link_frames import READ_BYTES, read_views, view_frames
 from plankroute.net.process.address import host_and_port
 
-HELLO_TIMEOUT_S = 2.0  # a guess
+HELLO_TIMEOUT_S = 2.0
 # Links at once: two of each of 300 controllers over three watchers, and more than twice that.
 MAX_LINKS = 512
 # Of a list that is handed out: a drain notice can't overtake what waits there any more.
--- a/plankroute/net/peers/membership.py
+++ b/plankroute/net/peers/membership.py
@@ -39,13 +39,13 @@
 from plankroute.net.process.clock import monotonic_us
 from plankroute.net.process.telemetry import Telemetry
 from plankroute.token_bucket import TokenBucket
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
 # The kernel's buffer: two seconds' datagrams of a large group, for a pause.
 RECEIVE_BUFFER_BYTES = 262144
 # Waiting for the kernel: beyond, datagrams are dropped, a loss as any other.
 MAX_UNSENT_BYTES = 65536
-# Datagrams looked at: far above the worst of a large group. A guess.
+# Datagrams looked at: far above the worst of a large group.
 MAX_DATAGRAMS_PER_SECOND = 2000
 MAX_DATAGRAM_BURST = 4000
 BIND_RETRY_S = 1.0  # between tries for an address that is in use
--- a/plankroute/net/peers/shared_discovery.py
+++ b/plankroute/net/peers/shared_discovery.py
@@ -44,9 +44,9 @@
 from plankroute.net.peers.membership import MembershipService
 from plankroute.net.process.address import host_and_port
 from plankroute.net.process.clock import monotonic_us as now_us
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
-# Between first requests of watchers: the second finds the list on its way already. A guess.
+# Between first requests of watchers: the second finds the list on its way already.
 WATCHER_STAGGER_US = 200_000
 BIND_RETRY_S = 1.0  # between tries for an address that is in use
 WARNINGS = frozenset(
--- a/plankroute/net/peers/snapshot_exchange.py
+++ b/plankroute/net/peers/snapshot_exchange.py
@@ -20,12 +20,12 @@
 from plankroute.warm_start.core import SnapshotReceived
 from plankroute.warm_start.snapshot import Snapshot
 
-# A guess: by then a controller's own requests say more than a snapshot.
+# By then a controller's own requests say more than a snapshot.
 ASKING_PERIOD_S = 10.0
 MEMBERSHIP_CHECK_INTERVAL_S = 0.05  # between looks for a living member that can be asked
 # Together with the file's last write within the 0.7 s that operators leave after SIGTERM.
 HANDOVER_TIMEOUT_S = 0.3
-# Snapshots held for others; a guess: a rolling restart ends controllers one after another.
+# Snapshots held for others: a rolling restart ends controllers one after another.
 MAX_HANDOVERS = 16
 
 Address = tuple[str, int]
--- a/plankroute/net/peers/snapshot_file.py
+++ b/plankroute/net/peers/snapshot_file.py
@@ -26,7 +26,7 @@
 from plankroute.warm_start.core import SnapshotReceived
 from plankroute.warm_start.snapshot import Snapshot
 
-# A guess: the start waits no longer; a snapshot that is read later is merged when it comes.
+# The start waits no longer; a snapshot that is read later is merged when it comes.
 READ_TIMEOUT_S = 0.15
 # Together with the handover to a peer within the 0.7 s that operators leave after SIGTERM.
 FINISH_TIMEOUT_S = 0.3
--- a/plankroute/net/probing/prober.py
+++ b/plankroute/net/probing/prober.py
@@ -14,9 +14,9 @@
 from plankroute.net.process.telemetry import Telemetry
 from plankroute.net.proxies.line_codec import parse_load_report
 
-# Measured, between starts: thirty calls at once were timed by the controller's own work.
+# Between starts: of many calls at once the controller's own work would be timed.
 PACE_S = 0.002
-MAX_BODY_BYTES = 4096  # a guess: a report is one line
+MAX_BODY_BYTES = 4096  # a report is one line
 
 
 @dataclass(frozen=True, slots=True)
--- a/plankroute/net/probing/shared_prober.py
+++ b/plankroute/net/probing/shared_prober.py
@@ -19,9 +19,9 @@
 from plankroute.events.events import HealthCheckOutcome
 from plankroute.net.probing.prober import HealthChecker
 from plankroute.net.process.clock import monotonic_us as now_us
+from plankroute.units import SECOND_US
 
-SECOND_US = 1_000_000
-# Results are sent together: a survey's come some milliseconds apart. A guess.
+# Results are sent together: a survey's come some milliseconds apart.
 GATHER_S = 0.02
 MAX_RESULTS_PER_FRAME = 200  # 12 KB
 
--- a/plankroute/net/process/configuration.py
+++ b/plankroute/net/process/configuration.py
@@ -11,7 +11,7 @@
 from plankroute.net.process.address import host_and_port
 from plankroute.net.process.resource_limits import ResourceLimits, resource_limits_for
 
-# Guesses, for settings that name no value.
+# For settings that name no value.
 DEFAULT_BATCH_INTERVAL_MS = 5.0
 DEFAULT_MEMORY_MB = 192.0
 DEFAULT_DESCRIPTORS = 1024
--- a/plankroute/net/process/resource_limits.py
+++ b/plankroute/net/process/resource_limits.py
@@ -2,9 +2,9 @@
 
 from dataclasses import dataclass
 
-# Measured: interpreter, program and tables take 13 to 17 MB with 30 hosts and 150 proxies.
+# Interpreter, program and tables.
 PROCESS_MB = 20
-# Shares of the memory beside the process; parsing a list takes ten times its size (measured).
+# Shares of the memory beside the process; parsing a list takes ten times its size.
 BUFFERS_SHARE = 0.4
 LIST_SHARE = 0.05
 MIN_BUFFER_BYTES = 3 << 20  # one longest message received, another one being written
@@ -14,7 +14,7 @@
 MAX_RESERVED = 96
 # Of the reserved ones: what the process has open by itself, discovery's two calls among it.
 PROCESS_DESCRIPTORS = 12
-# Of the connections, for monitors that check liveness and stay: some dozens of them (a guess).
+# Of the connections, for monitors that check liveness and stay: some dozens of them.
 LIVENESS_CHECKERS_SHARE = 1 / 16
 
 
--- a/plankroute/net/process/telemetry.py
+++ b/plankroute/net/process/telemetry.py
@@ -12,8 +12,8 @@
 
 from plankroute.events.events import LoadReport
 
-# Guesses: what a slow reader may leave waiting, and what one event may write, so that a storm of it
-# can't # fill the log. The rest is counted.
+# What a slow reader may leave waiting, and what one event may write, so that a storm of it can't
+# fill the log. The rest is counted.
 MAX_QUEUED_LINES = 1000
 MAX_LINES_PER_SECOND = 20
 
--- a/plankroute/net/proxies/admission.py
+++ b/plankroute/net/proxies/admission.py
@@ -17,7 +17,7 @@
     OutcomesMessage,
 )
 
-# A guess, some minutes' worth: a stalled session must not gather them without end.
+# Some minutes' worth: a stalled session must not gather them without end.
 MAX_UNACKNOWLEDGED = 4096
 
 
--- a/plankroute/net/proxies/connection_table.py
+++ b/plankroute/net/proxies/connection_table.py
@@ -11,11 +11,11 @@
 
 # Accepted before others are read: each is heard before many younger ones could push it out.
 ACCEPTED_AT_ONCE = 16
-# A guess, from connecting on: first messages come within a second, in pieces at worst.
+# From connecting on: first messages come within a second, in pieces at worst.
 IDENTIFICATION_TIMEOUT_S = 1.5
-# A guess, between two sweeps: a peer that checks liveness without end is rejected.
+# Between two sweeps: a peer that checks liveness without end is rejected.
 MAX_LIVENESS_CHECKS = 32
-# A guess: reports come each second or so; a late one must not cost the connection.
+# Reports come each second or so; a late one must not cost the connection.
 COLLECTOR_TIMEOUT_S = 60.0
 # Of a zone: it has one, and one or two that a network cut or a restart has left behind.
 MAX_ZONE_COLLECTORS = 4
--- a/plankroute/net/proxies/line_codec.py
+++ b/plankroute/net/proxies/line_codec.py
@@ -19,10 +19,10 @@
 )
 
 MAX_LINE_BYTES = 1 << 20  # by the protocol
-MAX_FIRST_LINE_BYTES = 1024  # a guess: no first line of a connection comes near
+MAX_FIRST_LINE_BYTES = 1024  # no first line of a connection comes near
 MAX_MESSAGE_PARTS = 64  # by the protocol
 ROWS_PER_PART = 4096  # keeps a part far below the longest line
-MAX_COUNT = 2**32 - 1  # a guess: no count within a report's span comes near
+MAX_COUNT = 2**32 - 1  # no count within a report's span comes near
 MAX_MILLISECONDS = 86_400_000.0  # a day: longer spans are nonsense
 MAX_LOAD_FIGURE = 1e6  # of a load report: no host holds a million requests
 MAX_DIGITS = 10  # of a count: as many as `MAX_COUNT` has
--- a/plankroute/net/proxies/outbound_buffer.py
+++ b/plankroute/net/proxies/outbound_buffer.py
@@ -7,7 +7,7 @@
 
 # For a slow reader: one longest message while another is under way.
 MAX_WAITING_BYTES = 2 * MAX_LINE_BYTES
-# A guess: handed to the transport at once, which holds no more than as many again.
+# Handed to the transport at once, which holds no more than as many again.
 WRITE_BYTES = 16384
 
 
--- a/plankroute/net/proxies/ring_buffer.py
+++ b/plankroute/net/proxies/ring_buffer.py
@@ -23,7 +23,7 @@
 class RingBuffer:
     """Grows up to its bound as needed, and releases its memory when it runs empty."""
 
-    FIRST_BYTES = 1024  # a guess: a few lines; most connections never need more
+    FIRST_BYTES = 1024  # a few lines; most connections never need more
 
     def __init__(self, max_bytes: int, pool: MemoryPool) -> None:
         self.max_bytes = max_bytes
--- a/plankroute/net/proxies/sessions.py
+++ b/plankroute/net/proxies/sessions.py
@@ -25,7 +25,7 @@
         submit: Hands an event to the core.
     """
 
-    # A guess, times `max_ack_s`: a slow channel and a proxy that stood still acknowledge within it.
+    # Times `max_ack_s`: a slow channel and a proxy that stood still acknowledge within it.
     STALL_FACTOR = 3.0
 
     def __init__(
--- a/plankroute/policy/admission.py
+++ b/plankroute/policy/admission.py
@@ -12,13 +12,13 @@
 
 from plankroute.events import commands, events
 from plankroute.events.facts import AdmissionUnit, StartFacts
-from plankroute.policy.constants import SECOND_US
 from plankroute.policy.host_table import HostTable
 from plankroute.state.apportionment import even_rate_cap
 from plankroute.state.host_statistics import NO_CAP
 from plankroute.state.proxy_registry import ProxyRegistry
 from plankroute.state.published_table import PublishedTable
 from plankroute.state.scheduler import Actor, Scheduler, Tick
+from plankroute.units import SECOND_US
 
 # Limits that admit everything, by their unit; the rate is one that no proxy reaches.
 OPEN_LIMITS = {AdmissionUnit.NONE: 1.0, AdmissionUnit.SHARE: 1.0, AdmissionUnit.RATE: 1e6}
@@ -26,22 +26,22 @@
 # late hosts (docs/design.md).
 RETRY_POLICY = commands.RetryPolicy.IF_NOT_EXECUTED
 # Mean latency, in latency objectives, beyond which load is shed: a mean near the objective leaves a
-# long tail past it. The value is a guess (docs/design.md).
+# long tail past it. See docs/design.md.
 LATE_MEAN = 0.55
-# Mean latency below which more is admitted: a guess (docs/design.md).
+# Mean latency below which more is admitted (docs/design.md).
 TIMELY_MEAN = 0.45
-# Factors a turn on the admitted share: quick enough for a burst, slow enough for late reports.
-# Guesses (docs/design.md).
+# Factors a turn on the admitted share: quick enough for a burst, slow enough for late reports. See
+# docs/design.md.
 DECREASE = 0.7
 INCREASE = 1.15
-# The least share that is admitted: a guess.
+# The least share that is admitted.
 MIN_SHARE = 0.1
 # Turns until a limit shows in the statistics: a decrease is counted from the share that was then in
 # force.
 TURNS_OF_DELAY = 4
-# Relative changes of a limit that are not worth their lines: a guess.
+# Relative changes of a limit that are not worth their lines.
 MIN_CHANGE = 0.05
-# The least rate a second at a proxy: a guess.
+# The least rate a second at a proxy.
 MIN_RATE = 0.1
 
 
--- a/plankroute/policy/composition.py
+++ b/plankroute/policy/composition.py
@@ -5,7 +5,6 @@
 from plankroute.events.facts import StartFacts
 from plankroute.policy import flow_control
 from plankroute.policy.admission import AdmissionController
-from plankroute.policy.constants import SECOND_US
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.host import HostActor
 from plankroute.policy.host_table import HostTable
@@ -13,9 +12,10 @@
 from plankroute.policy.publisher import Publisher
 from plankroute.policy.weights import WeightController
 from plankroute.state.scheduler import Scheduler
+from plankroute.units import SECOND_US
 
-# Delay before a poll of the endpoint list that failed is repeated: a guess, well before the list
-# counts as known to be out of date.
+# Delay before a poll of the endpoint list that failed is repeated, well before the list counts as
+# known to be out of date.
 LIST_RETRY_DELAY_US = 2 * SECOND_US
 # How often the publisher looks for work between turns; flow control says why.
 PUBLISHER_PULSE_US = flow_control.PULSE_US
--- a/plankroute/policy/constants.py
+++ b/plankroute/policy/constants.py
@@ -1,9 +1,9 @@
 """Units and constants that several mechanisms share."""
 
-SECOND_US = 1_000_000
+from plankroute.units import SECOND_US
 
-# Half-life of the decayed sums of request statistics: a guess. Older statistics say little about
-# the present, and the noise of two or three reports averages out.
+# Half-life of the decayed sums of request statistics. Older statistics say little about the
+# present, and the noise of two or three reports averages out.
 STATS_HALF_LIFE_US = 3 * SECOND_US
 
 # Natural logarithm of 2, to three digits: more would change every decision. A decayed sum holds
@@ -14,7 +14,7 @@
 TURN_US = SECOND_US
 
 # Weight of the prior, in attempts, that shrinks a host's mean latency, or weight, to that of its
-# machine type while few attempts are counted: a guess.
+# machine type while few attempts are counted.
 PRIOR_ATTEMPTS = 3.0
 
 # The least weight of a host, relative to the mean: the design's value. A host keeps enough requests
@@ -23,5 +23,5 @@
 
 # The most that a single host counts for, before it was measured under load, relative to others of
 # its machine type: single health checks are off by a factor of two, and some hosts answer at once.
-# A guess (docs/design.md, first weights).
+# See docs/design.md, first weights.
 MAX_FIRST_WEIGHT = 1.4
--- a/plankroute/policy/drains.py
+++ b/plankroute/policy/drains.py
@@ -7,19 +7,19 @@
 
 from plankroute.events import commands, events
 from plankroute.events.events import HostState
-from plankroute.policy.constants import SECOND_US
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.flow_control import FlowControl, write_slot
 from plankroute.policy.host_table import HostTable
 from plankroute.state.host_statistics import NO_CAP
 from plankroute.state.proxy_registry import ProxyRegistry
 from plankroute.state.published_table import Change, PublishedTable
+from plankroute.units import SECOND_US
 
 # Time for which removed hosts are remembered: proxies back from the longest network partitions may
-# still name them. A guess.
+# still name them.
 REMOVED_HOST_TTL_US = 60 * SECOND_US
 # Part of the drain grace left after the longest one-way delay in which binds are to be written:
-# those that fit replace the proxies' old tables and need no withdrawals before them. A guess.
+# those that fit replace the proxies' old tables and need no withdrawals before them.
 MAX_BIND_PART_OF_GRACE = 0.75
 
 
--- a/plankroute/policy/fill.py
+++ b/plankroute/policy/fill.py
@@ -16,14 +16,13 @@
 # Surcharge for slow hosts, as a power of the latency relative to the usual one (docs/design.md).
 SLOWNESS_EXPONENT = 0.3
 # Surcharge for queues, as a power of the requests in flight over the concurrency; a greater one
-# made queues swing (docs/design.md).
+# makes queues swing (docs/design.md).
 QUEUE_EXPONENT = 0.45
-# Requests that a usual host works on before any waits: a guess. With more in flight these show its
-# capacity.
+# Requests that a usual host works on before any waits. With more in flight these show its capacity.
 USUAL_CONCURRENCY = 3.0
-# Least attempts, as a decayed sum, at which a machine type's latency is known: a guess.
+# Least attempts, as a decayed sum, at which a machine type's latency is known.
 MIN_TYPE_ATTEMPTS = 0.5
-# Least load reports, as a decayed sum, that show the requests in flight: a guess.
+# Least load reports, as a decayed sum, that show the requests in flight.
 MIN_REPORTS = 0.1
 
 
--- a/plankroute/policy/first_weights.py
+++ b/plankroute/policy/first_weights.py
@@ -10,21 +10,22 @@
 from dataclasses import dataclass
 from statistics import median
 
-from plankroute.policy.constants import MAX_FIRST_WEIGHT, PRIOR_ATTEMPTS, SECOND_US
+from plankroute.policy.constants import MAX_FIRST_WEIGHT, PRIOR_ATTEMPTS
 from plankroute.policy.host_table import HostTable
 from plankroute.policy.prior_knowledge import PriorKnowledge
 from plankroute.state.host_statistics import group_by
+from plankroute.units import SECOND_US
 
 # Longest wait for reports on old tables, if binding then still fits the drain grace: old tables
-# name lost hosts. A guess.
+# name lost hosts.
 MAX_WAIT_US = 5 * SECOND_US
-# Longest wait for the answers to health checks: a slower check shows no speed. A guess.
+# Longest wait for the answers to health checks: a slower check shows no speed.
 CHECKS_WAIT_US = SECOND_US // 4
-# Attempts a host that are enough to take weights over from old tables: a guess.
+# Attempts a host that are enough to take weights over from old tables.
 ENOUGH_ATTEMPTS = 8.0
 # The least that a single host counts for relative to its machine type: see MAX_FIRST_WEIGHT.
 MIN_RELATIVE_SPEED = 0.7
-# Part of the mean attempts below which whoever wrote the old tables shunned a host: a guess.
+# Part of the mean attempts below which whoever wrote the old tables shunned a host.
 SHUNNED_ATTEMPTS_SHARE = 0.3
 
 
--- a/plankroute/policy/flow_control.py
+++ b/plankroute/policy/flow_control.py
@@ -7,26 +7,25 @@
 
 from plankroute.events import commands
 from plankroute.events.facts import StartFacts
-from plankroute.policy.constants import SECOND_US
 from plankroute.state.host_statistics import HostStatistics
 from plankroute.state.proxy_registry import ProxyRegistry
 from plankroute.state.published_table import Change
+from plankroute.units import SECOND_US
 
 # How often the publisher looks for work: well within any drain grace, and shorter than a one-way
-# delay. A guess.
+# delay.
 PULSE_US = SECOND_US // 10
-# Part of the backlog cap that changes which can wait may fill; the rest is for drains. A guess.
+# Part of the backlog cap that changes which can wait may fill; the rest is for drains.
 ORDINARY_PART_OF_BACKLOG = 0.5
-# Part of the time that the drain grace leaves after the longest one-way delay, for the same. A
-# guess.
+# Part of the time that the drain grace leaves after the longest one-way delay, for the same.
 ORDINARY_PART_OF_GRACE = 0.4
 # Part of that allowance that binds may fill: they leave capacity for slots, so that proxies which
-# come later find the table right. A guess.
+# come later find the table right.
 BIND_PART_OF_ALLOWANCE = 0.45
 # Part of that which binds of proxies on interim tables may fill: these can wait, slots go first.
 REBIND_PART_OF_BINDS = 0.25
 # Time for which a moved slot stands, over which its line has to pay: a moved request gains a tenth
-# or so. A guess (docs/design.md, what size changes).
+# or so. See docs/design.md, what size changes.
 SLOT_LIFETIME_US = 3 * SECOND_US // 2
 # Messages of a busy channel are apart by the drain grace over this at most (docs/design.md): two
 # thirds of the grace are left for the way.
--- a/plankroute/policy/health.py
+++ b/plankroute/policy/health.py
@@ -8,31 +8,32 @@
 
 from plankroute.events import events
 from plankroute.events.events import HealthCheckOutcome
-from plankroute.policy.constants import LN_2, SECOND_US, STATS_HALF_LIFE_US
+from plankroute.policy.constants import LN_2, STATS_HALF_LIFE_US
 from plankroute.policy.host_table import HostTable
 from plankroute.policy.prior_knowledge import PriorKnowledge
 from plankroute.state.scheduler import Scheduler
+from plankroute.units import SECOND_US
 
 # A host is an outlier by its failures if its failure ratio exceeds the usual one, times this, ...
-# (where all fail much, a host that fails more is only fuller; a guess)
+# (where all fail much, a host that fails more is only fuller)
 USUAL_FAILURES_FACTOR = 3.0
-# ... by more than this (a guess) ...
+# ... by more than this ...
 MAX_EXCESS_FAILURE_RATIO = 0.25
-# ... and it has failed this often, as a decayed sum: together they are beyond chance (a guess).
+# ... and it has failed this often, as a decayed sum: together they are beyond chance.
 MIN_FAILURES = 3.0
 # Attempts that are expected of a host without any being reported: by chance one time in fifty, and
-# all that follows is a health check. A guess.
+# all that follows is a health check.
 MAX_SILENT_ATTEMPTS = 4.0
-# Bad checks in a row that eject a suspect: a guess.
+# Bad checks in a row that eject a suspect.
 BAD_CHECKS_TO_EJECT = 2
-# Good checks in a row that readmit it the first time: a guess.
+# Good checks in a row that readmit it the first time.
 GOOD_CHECKS_TO_READMIT = 2
-# Bound on these as they double: half a minute of checks. A guess.
+# Bound on these as they double: half a minute of checks.
 MAX_REQUIRED_CHECKS = 32
 # Share of the ready hosts that may be ejected: two zones of three may be out of reach, and fewer
 # hosts would only be overloaded.
 MAX_EJECTED_SHARE = 0.75
-# Time after a mass disconnect in which one check that does not get through is enough: a guess.
+# Time after a mass disconnect in which one check that does not get through is enough.
 PARTITION_SUSPICION_US = 3 * SECOND_US
 
 
--- a/plankroute/policy/host.py
+++ b/plankroute/policy/host.py
@@ -2,7 +2,7 @@
 
 from plankroute.events import events
 from plankroute.events.events import HostState
-from plankroute.policy.constants import SECOND_US, STATS_HALF_LIFE_US
+from plankroute.policy.constants import STATS_HALF_LIFE_US
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.health import GOOD_CHECKS_TO_READMIT, HostHealth
 from plankroute.policy.host_table import HostTable
@@ -14,8 +14,9 @@
 from plankroute.policy.warmup import Ramp
 from plankroute.state.host_statistics import NO_CAP
 from plankroute.state.scheduler import Actor, Scheduler, Tick
+from plankroute.units import SECOND_US
 
-# Statistics that are no further apart come from one round of reports: a guess.
+# Statistics that are no further apart come from one round of reports.
 STATS_BURST_GAP_US = SECOND_US // 4
 
 HostEvent = (
--- a/plankroute/policy/host_table.py
+++ b/plankroute/policy/host_table.py
@@ -5,8 +5,9 @@
 
 from plankroute.events import commands
 from plankroute.events.facts import ReportSource, StartFacts
-from plankroute.policy.constants import LN_2, SECOND_US, STATS_HALF_LIFE_US
+from plankroute.policy.constants import LN_2, STATS_HALF_LIFE_US
 from plankroute.state.host_statistics import NO_CAP, HostStatistics, group_by
+from plankroute.units import SECOND_US
 
 # The best hosts are one in this many: two zones of three may be out of reach.
 BEST_HOSTS_DIVISOR = 3
--- a/plankroute/policy/mass_disconnect.py
+++ b/plankroute/policy/mass_disconnect.py
@@ -1,15 +1,14 @@
 """Mass disconnects: many proxies that disconnect together may be a network partition."""
 
-from plankroute.policy.constants import SECOND_US
 from plankroute.policy.host_table import HostTable
 from plankroute.state.proxy_registry import ProxyRegistry
+from plankroute.units import SECOND_US
 
-# Time within which disconnects count together, and hosts are checked only once: a guess.
+# Time within which disconnects count together, and hosts are checked only once.
 WINDOW_US = SECOND_US
-# Share of the joined proxies that disconnect within the window: more than do so by chance. A
-# guess.
+# Share of the joined proxies that disconnect within the window: more than do so by chance.
 MIN_SHARE = 0.1
-# Disconnects within the window that are never suspicious, however few proxies joined: a guess.
+# Disconnects within the window that are never suspicious, however few proxies joined.
 MAX_UNSUSPICIOUS = 2
 
 
--- a/plankroute/policy/prior_knowledge.py
+++ b/plankroute/policy/prior_knowledge.py
@@ -8,21 +8,21 @@
 from dataclasses import dataclass, field
 
 from plankroute.events import events
-from plankroute.policy.constants import MAX_FIRST_WEIGHT, SECOND_US, WEIGHT_FLOOR
+from plankroute.policy.constants import MAX_FIRST_WEIGHT, WEIGHT_FLOOR
 from plankroute.state.host_statistics import HostStatistics
+from plankroute.units import SECOND_US
 
-# Half-life of what was known: a guess; faults of hosts last about so long.
+# Half-life of what was known; faults of hosts last about so long.
 PRIOR_HALF_LIFE_US = 60 * SECOND_US
 # Knowledge of a fault counts while more than this of its certainty is left: one half-life.
 MIN_CERTAINTY = 0.5
-# Share of the ready hosts that prior knowledge alone may eject: a guess; beyond it the knowledge is
-# wrong.
+# Share of the ready hosts that prior knowledge alone may eject; beyond it the knowledge is wrong.
 MAX_EJECTED_SHARE = 1 / 3
 # Attempts, as a decayed sum, from which on own statistics of a host are compared to prior knowledge
 # and stand above it: as many as make a host suspect by its failures.
 MIN_MEASURED_ATTEMPTS = 3.0
-# Contradictions from which on all prior knowledge is dropped if they outnumber the confirmations: a
-# guess; a single one may be chance.
+# Contradictions from which on all prior knowledge is dropped if they outnumber the confirmations; a
+# single one may be chance.
 MIN_CONTRADICTIONS = 2
 
 
--- a/plankroute/policy/slot_changes.py
+++ b/plankroute/policy/slot_changes.py
@@ -14,14 +14,13 @@
 from plankroute.state.published_table import Change
 
 # The benefit grows with the mean latency, in latency objectives, times this factor, to this power.
-# Guards against a channel that is busy all day with the small moves of a calm day. Factors of 1, 4
-# and 10 and powers of two and four were tried.
+# Guards against a channel that is busy all day with the small moves of a calm day.
 LATENCY_FACTOR = 6.0
 LATENCY_EXPONENT = 3
-# Factor on the benefit of a host's first slot: the other hosts carry its requests. A guess
-# (docs/design.md, what size changes).
+# Factor on the benefit of a host's first slot: the other hosts carry its requests. See
+# docs/design.md, what size changes.
 NEW_SLOT_FACTOR = 4.0
-# Part of the published slot below which the lower slot of a warming host does not wait: a guess.
+# Part of the published slot below which the lower slot of a warming host does not wait.
 URGENT_FALL = 0.75
 
 SlotInput = list[float] | list[bool] | list[HostState] | list[int] | set[int] | dict[int, int]
--- a/plankroute/policy/subsetting.py
+++ b/plankroute/policy/subsetting.py
@@ -11,16 +11,16 @@
 from dataclasses import dataclass
 
 from plankroute.events.facts import StartFacts
-from plankroute.policy.constants import SECOND_US
 from plankroute.policy.host_table import HostTable
 from plankroute.state.host_statistics import NO_CAP, group_by
 from plankroute.state.published_table import PublishedTable
+from plankroute.units import SECOND_US
 
-# Time in which all binds are to be written at most: a guess.
+# Time in which all binds are to be written at most.
 MAX_BIND_US = 3 * SECOND_US
-# The same as a part of what the drain grace leaves after the longest one-way delay: a guess.
+# The same as a part of what the drain grace leaves after the longest one-way delay.
 MAX_BIND_SHARE_OF_GRACE = 0.5
-# Warm hosts that a subset holds at least: with fewer, proxies would hang on single hosts. A guess.
+# Warm hosts that a subset holds at least: with fewer, proxies would hang on single hosts.
 MIN_WARM_HOSTS = 24
 # Controllers from which on there are subsets: of two, either may be left with all proxies, which
 # half of the hosts would not bear.
--- a/plankroute/policy/warmup.py
+++ b/plankroute/policy/warmup.py
@@ -14,22 +14,22 @@
 
 # Share of its weight with which a host is readmitted: the design's value.
 READMISSION_SHARE = 0.25
-# Factor a turn by which that share rises: a guess.
+# Factor a turn by which that share rises.
 READMISSION_GROWTH = 1.5
 # Weight of the failure ratio's third power against the herd effect: it takes a third off at a half
 # failed, three quarters at nine tenths. With 2.5 warming hosts were overloaded in simulated days.
 HERD_FACTOR = 4.0
-# Failure ratio at which all requests soon flock to a new host, whatever else holds: a guess
-# (docs/design.md, cold caps).
+# Failure ratio at which all requests soon flock to a new host, whatever else holds (docs/design.md,
+# cold caps).
 OVERLOAD_FAILURE_RATIO = 0.5
-# The same where answers are late already: a guess (docs/design.md, cold caps).
+# The same where answers are late already (docs/design.md, cold caps).
 LATE_OVERLOAD_FAILURE_RATIO = 0.3
-# Answers are late from this part of the latency objective on: a guess.
+# Answers are late from this part of the latency objective on.
 LATE_PART_OF_OBJECTIVE = 0.8
 # Attempts a second of one proxy at one host, from which on proxies shun failing hosts and so flock
-# to others: a guess (docs/design.md, cold caps).
+# to others (docs/design.md, cold caps).
 MIN_RATE_FOR_HERD = 0.3
-# The least part of its type's usual weight that a capped host keeps: a guess.
+# The least part of its type's usual weight that a capped host keeps.
 MIN_CAPACITY_SHARE = 0.01
 
 
--- a/plankroute/policy/weights.py
+++ b/plankroute/policy/weights.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass
 
-from plankroute.policy.constants import SECOND_US, TURN_US, WEIGHT_FLOOR
+from plankroute.policy.constants import TURN_US, WEIGHT_FLOOR
 from plankroute.policy.fill import fills
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.host_table import HostTable
@@ -16,6 +16,7 @@
 from plankroute.state.host_statistics import NO_CAP
 from plankroute.state.published_table import PublishedTable
 from plankroute.state.scheduler import Actor, Scheduler, Tick
+from plankroute.units import SECOND_US
 
 # Gains of the PID controller (docs/design.md, gains). Fill is that of the present weight, so late
 # statistics bound the gains less than in the source of the method.
@@ -29,21 +30,20 @@
 # Additional gain in the first turn where the list gives no sizes, so that all is to be learned; it
 # falls with the number of the turn (docs/design.md, eagerness).
 FIRST_TURN_GAIN = 6.0
-# Turn to go on from where weights were taken over from old tables: those have learned already. A
-# guess.
+# Turn to go on from where weights were taken over from old tables: those have learned already.
 TURN_AFTER_OLD_TABLES = 6
 # How far a weight may be ahead of its published slot, as a part of it (docs/design.md).
 MAX_LEAD = 0.6
-# The same where a turn can not write all slots: at 0.6 the weights swung between zones
+# The same where a turn can not write all slots: a longer lead makes weights swing between zones
 # (docs/incidents/full-size.md).
 MAX_LEAD_CONSTRAINED = 0.3
 # The lead covers the least change that is worth its line times this: a shorter one would keep a
-# slot forever. A guess (docs/design.md).
+# slot forever. See docs/design.md.
 LEAD_OVER_MIN_CHANGE = 1.2
 # Fill from which on a host that falls silent counts as still overloaded and not as idle: a stress
 # of three times the mean.
 STALLED_FILL = 0.75
-# Turns keep this far behind the statistics that come together: a guess.
+# Turns keep this far behind the statistics that come together.
 LAG_BEHIND_STATS_US = SECOND_US // 10
 
 
--- a/plankroute/simulator/command_records.py
+++ b/plankroute/simulator/command_records.py
@@ -8,7 +8,7 @@
 ALL_TABLES = 0xFFFF
 ALL_PEERS = 0xFFFF
 ALL_REQUEST_CLASSES = 0  # as a set of bits
-MAX_TEXT_BYTES = 60_000  # a guess well below the 65,535 that the length field can tell
+MAX_TEXT_BYTES = 60_000  # well below the 65,535 that the length field can tell
 
 
 class CommandCode(IntEnum):
--- a/plankroute/token_bucket.py
+++ b/plankroute/token_bucket.py
@@ -1,6 +1,6 @@
 """A token bucket: a budget that fills again with time. The caller tells the time."""
 
-SECOND_US = 1_000_000
+from plankroute.units import SECOND_US
 
 
 class TokenBucket:
--- a/plankroute/warm_start/codec.py
+++ b/plankroute/warm_start/codec.py
@@ -18,8 +18,8 @@
 # Magic, version, reserved, bytes that follow, Unix milliseconds when written, checksum.
 HEADER = struct.Struct("!4sHHQQQ")
 CHECKSUM = struct.Struct("!Q")
-MAX_FILE_BYTES = 1 << 20  # a guess: five times the file of 500 hosts
-MAX_CLOCK_SKEW_MS = 5_000  # a guess: wall clocks of two machines differ by less
+MAX_FILE_BYTES = 1 << 20  # five times the file of 500 hosts
+MAX_CLOCK_SKEW_MS = 5_000  # wall clocks of two machines differ by less
 ENCODER = msgspec.msgpack.Encoder()
 DECODER = msgspec.msgpack.Decoder(Snapshot)
 
--- a/plankroute/warm_start/core.py
+++ b/plankroute/warm_start/core.py
@@ -13,8 +13,8 @@
 from plankroute.warm_start.merge import MergedKnowledge, Observation, from_observation, merge
 from plankroute.warm_start.snapshot import HostKnowledge, Snapshot
 
-# By which bad news count as fresher than good ones. A guess: within that time health checks readmit
-# a host that recovered.
+# By which bad news count as fresher than good ones. Within that time health checks readmit a host
+# that recovered.
 HALF_LIFE_US = 60_000_000
 STATE_BY_LIST_WORD = {"DRAINING": HostState.DRAINING, "DELETED": HostState.GONE}
 
--- a/plankroute/warm_start/snapshot.py
+++ b/plankroute/warm_start/snapshot.py
@@ -13,7 +13,7 @@
 
 MAX_NAME_LENGTH = 256
 MAX_HOSTS = 8192  # in one snapshot: as many as an endpoint list of 3 MB names
-MAX_AGE_US = 1 << 53  # three centuries; a guess: any larger figure is as meaningless
+MAX_AGE_US = 1 << 53  # three centuries: any larger figure is as meaningless
 
 Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
 Age = Annotated[int, msgspec.Meta(ge=0, le=MAX_AGE_US)]
