Log: failed health checks and lists are logged as fields, not as the text of an object

health_check_failed carried how="CallFailure(progress=<CallProgress.REQUEST_SENT: ...>)" and list_failed the same under why: nothing to query by. Response and CallFailure give their fields now. The new test fails on the code before. 47 tests of health checks and watches passed.

--- a/plankroute/net/discovery/http_client.py
+++ b/plankroute/net/discovery/http_client.py
@@ -31,6 +31,10 @@
     body: bytes
     served_us: int
 
+    def log_fields(self) -> dict[str, str | int]:
+        """Returns the response as fields of a log event, without its body."""
+        return {"status": self.status, "body_bytes": len(self.body), "served_us": self.served_us}
+
 
 @dataclass(frozen=True, slots=True)
 class CallLimits:
--- a/plankroute/net/discovery/watch.py
+++ b/plankroute/net/discovery/watch.py
@@ -28,7 +28,6 @@
 # The pause before a new watch, by half either way. The platform allows 6 s for a change.
 RETRY_PAUSE_S = 0.3
 MAX_LOGGED_ENTRIES = 30  # of a list
-MAX_LOGGED_TEXT = 200  # characters of what came instead of a list
 NEVER_US = 1 << 40  # the age of a list that never came
 LIST_FAILED = events.HostList(ListKind.FAILED, ())
 
@@ -158,7 +157,7 @@
         ):
             return True
         self.telemetry.count("dropped.lists")
-        self.telemetry.log.event("warning", "list_failed", why=str(response)[:MAX_LOGGED_TEXT])
+        self.telemetry.log.event("warning", "list_failed", **response.log_fields())
         return False
 
     async def _watch(self) -> None:
--- a/plankroute/net/probing/prober.py
+++ b/plankroute/net/probing/prober.py
@@ -130,7 +130,7 @@
                 "health_check_failed",
                 host=self.directory.uid(host),
                 outcome=outcome.value,
-                how=str(result),
+                **result.log_fields(),
             )
         if isinstance(result, Response):
             elapsed_us = result.served_us  # guards against far hosts taken for slow ones
--- a/plankroute/net/process/errors.py
+++ b/plankroute/net/process/errors.py
@@ -45,3 +45,11 @@
     progress: CallProgress
     reason: str
     timed_out: bool = False
+
+    def log_fields(self) -> dict[str, str | int]:
+        """Returns the failure as fields of a log event."""
+        return {
+            "reached": self.progress.value,
+            "why": self.reason,
+            "timed_out": self.timed_out,
+        }
--- a/tests/net/test_health_checker.py
+++ b/tests/net/test_health_checker.py
@@ -39,6 +39,38 @@
     assert outcome_of(answer) is outcome
 
 
+@pytest.mark.parametrize(
+    ("result", "fields"),
+    [
+        (Response(503, b"xy", 70), {"status": 503, "body_bytes": 2, "served_us": 70}),
+        (
+            CallFailure(CallProgress.REQUEST_SENT, "reset"),
+            {"reached": "request sent", "why": "reset", "timed_out": False},
+        ),
+    ],
+)
+def test_a_failed_health_check_is_logged_as_fields(
+    result: Response | CallFailure, fields: dict[str, object]
+) -> None:
+    """Guards against log lines that hold the text of a Python object."""
+    telemetry = Telemetry(EventLog("n", lambda line: None))
+    logged: list[dict[str, object]] = []
+    telemetry.log.event = (  # type: ignore[method-assign]
+        lambda level, event, **facts: logged.append({"event": event, **facts})
+    )
+    directory = Directory(Clock(), ("a",), ("m",), ("p",))
+    entry = ListEntry("s-1", "127.0.0.1:9", "a", "m", 0, READY, 1.0, 0.0)
+    directory.apply_list(EndpointList(1, True, (entry,)))
+    prober = HealthChecker(
+        start_facts(), directory, Clock(), telemetry, 1000, lambda: 9, lambda event: None
+    )
+    prober._report(directory.ids["s-1"], result, 0)
+    (line,) = logged
+    assert line.pop("event") == "health_check_failed"
+    assert line.pop("host") == "s-1" and line.pop("outcome")
+    assert line == fields
+
+
 def test_health_checks_begin_one_after_another() -> None:
     """Guards against times that are the controller's own work for all of them at once."""
 
