Complete tables of a subset take an even share; cold hosts are spared in interim tables

Cause: proxies on interim tables were bound to complete ones within seconds, so the subset of one controller, sized for a fifth of the fleet, got all requests: three attempts a request, hosts full, and proxies flock to the cold ones.

Change: as many proxies as an even share of the fleet go to complete tables of a subset, the others stay on interim tables, which hold all hosts; a cold host counts by half, and by less in a table with few slots for its users; crowded tables get more hosts; the rate of attempts a proxy and host counts the hosts that are really used.

--- a/plankroute/policy/binding.py
+++ b/plankroute/policy/binding.py
@@ -6,6 +6,7 @@
 from plankroute.policy.first_weights import FirstWeights
 from plankroute.policy.flow_control import FlowControl
 from plankroute.policy.host_table import HostTable
+from plankroute.policy.subsetting import SubsetPolicy
 from plankroute.state.proxy_registry import ProxyRegistry
 from plankroute.state.published_table import PublishedTable
 
@@ -19,11 +20,13 @@
         host_table: HostTable,
         first_weights: FirstWeights,
         flow: FlowControl,
+        subsetting: SubsetPolicy,
     ) -> None:
         self.registry = registry
         self.host_table = host_table
         self.first_weights = first_weights
         self.flow = flow
+        self.subsetting = subsetting
 
     def bind_waiting(self, withdrawn: set[int], slots_wait: bool) -> None:
         """Binds as many proxies as fit: waiting ones first, then those on interim tables.
@@ -42,8 +45,18 @@
         waiting = sorted(registry.unbound, key=self._bind_order)
         self._bind_in_order(waiting, withdrawn, max_queued)
         if not registry.unbound:
-            on_interim_tables = sorted(registry.interim, key=lambda proxy: -registry.interim[proxy])
-            self._bind_in_order(on_interim_tables, withdrawn, self.flow.rebind_allowance)
+            self._bind_from_interim_tables(withdrawn)
+
+    def _bind_from_interim_tables(self, withdrawn: set[int]) -> None:
+        """Binds proxies on interim tables to complete ones, as many as these are meant for."""
+        registry = self.registry
+        ready_count = len(self.host_table.ready())
+        max_users = self.subsetting.max_users(ready_count, self.flow.grace_slack_us)
+        if len(registry.bound) >= max_users:
+            return
+        rest = int(min(len(registry.interim), max_users - len(registry.bound)))
+        by_rate = sorted(registry.interim, key=lambda proxy: -registry.interim[proxy])
+        self._bind_in_order(by_rate[:rest], withdrawn, self.flow.rebind_allowance)
 
     def _bind_in_order(self, proxies: list[int], withdrawn: set[int], max_queued: float) -> None:
         registry = self.registry
--- a/plankroute/policy/host_table.py
+++ b/plankroute/policy/host_table.py
@@ -91,7 +91,8 @@
         in_subset = sum(host not in self.outside_subset for host in ready)
         attempts_per_s = attempts * LN_2 * SECOND_US / STATS_HALF_LIFE_US
         self.failure_ratio = sum(self.failed[host] for host in ready) / attempts
-        self.attempt_rate_per_proxy = attempts_per_s / max(1, self.proxies * in_subset)
+        routes = self.proxies * in_subset + self.interim_routes
+        self.attempt_rate_per_proxy = attempts_per_s / max(1, routes)
         self.mean_latency_us = sum(self.latency_sum_us[host] for host in ready) / attempts
 
     def _refresh_heard(self, heard: list[int]) -> None:
--- a/plankroute/policy/interim_tables.py
+++ b/plankroute/policy/interim_tables.py
@@ -21,6 +21,10 @@
 MAX_SLOT_RATIO = 1.5
 # The published slot of a cold host is changed at once when it is too large by this factor.
 MAX_COLD_SLOT_RATIO = 1.2
+# Load of a table over the mean from which on it gets more hosts.
+MAX_LOAD_RATIO = 1.5
+# Part of its weight with which a cold host counts.
+COLD_WEIGHT_SHARE = 0.5
 # Part of its first rows that an interim table keeps as hosts leave it; below that it gets others.
 MIN_ROWS_KEPT = 0.5
 
@@ -99,8 +103,10 @@
         changes: list[Change] = []
         for base in self._bases_in_use():
             slots = self._target_slots(base)
-            for table in self._tables_of(base):
-                changes += self._leaving(table, slots)
+            tables = self._tables_of(base)
+            mean_load = sum(table.rate for table in tables) / max(1, sum(slots.values()))
+            for table in tables:
+                changes += self._leaving(table, slots, mean_load)
         return changes
 
     def ordinary_changes(self) -> list[Change]:
@@ -109,12 +115,14 @@
         for base in self._bases_in_use():
             slots = self._target_slots(base)
             tables = self._tables_of(base)
+            mean_load = sum(table.rate for table in tables) / max(1, sum(slots.values()))
             changes += self._coming(tables, slots)
             for table in tables:
+                wanted = self._slots_in(table, slots, mean_load)
                 changes += [
-                    Change(0.0, False, table, host, slots[host])
+                    Change(0.0, False, table, host, wanted[host])
                     for host, count in table.published.items()
-                    if host in slots and _ratio(count, slots[host]) > MAX_SLOT_RATIO
+                    if host in wanted and _ratio(count, wanted[host]) > MAX_SLOT_RATIO
                 ]
         return changes
 
@@ -122,38 +130,69 @@
         """Returns the slots of all hosts that a complete table might hold."""
         host_table = self.host_table
         withdrawn = self.drains.withdrawn | self.drains.pending
-        weights = {
-            host: host_table.capped_weight(host) for host in base.hosts(host_table, withdrawn)
-        }
+        weights = {host: self._weight(host) for host in base.hosts(host_table, withdrawn)}
         total = sum(weights.values())
         return {
             host: max(1, round(SLOTS_PER_HOST * len(weights) * weight / total))
             for host, weight in weights.items()
         }
 
+    def _weight(self, host: int) -> float:
+        """Returns a host's weight; that of a cold one counts in part.
+
+        Guards against cold hosts that are overloaded: where the others of a small table are full,
+        its proxies flock to the one that still answers.
+        """
+        weight = self.host_table.capped_weight(host)
+        return COLD_WEIGHT_SHARE * weight if self._is_cold(host) else weight
+
     def _tables_of(self, base: RoutingTable) -> list[InterimTable]:
         return [table for table in self.registry.interim_tables if table.base is base]
 
     def _bases_in_use(self) -> Iterable[RoutingTable]:
         return [base for base in self.bases if any(table.users for table in self._tables_of(base))]
 
-    def _leaving(self, table: InterimTable, slots: dict[int, int]) -> list[Change]:
-        staying = [host for host in table.published if host in slots]
+    def _slots_in(
+        self, table: InterimTable, slots: dict[int, int], mean_load: float
+    ) -> dict[int, int]:
+        """Returns the slots that the hosts of one table should have in it.
+
+        Guards against cold hosts in a table with few slots for its users: there a cold host counts
+        for less, so that it gets no more requests than it would at the mean load.
+        """
+        staying = {host: slots[host] for host in table.published if host in slots}
+        load = table.rate / max(1, sum(staying.values()))
+        part = min(1.0, mean_load / load) if load else 1.0
+        return {
+            host: max(1, round(part * count)) if self._is_cold(host) else count
+            for host, count in staying.items()
+        }
+
+    def _leaving(
+        self, table: InterimTable, slots: dict[int, int], mean_load: float
+    ) -> list[Change]:
+        wanted = self._slots_in(table, slots, mean_load)
         added: list[int] = []
-        if len(staying) < MIN_ROWS_KEPT * self.rows:
-            spare = [host for host in slots if host not in table.published]
+        is_overloaded = table.rate > MAX_LOAD_RATIO * mean_load * sum(wanted.values())
+        if len(wanted) < MIN_ROWS_KEPT * self.rows or is_overloaded:
+            spare = [
+                host for host in slots if host not in table.published and not self._is_cold(host)
+            ]
             first = table.number % max(1, len(spare))  # tables borrow different hosts
-            added = (spare[first:] + spare[:first])[: self.rows - len(staying)]
+            missing = max(1, self.rows - len(wanted))
+            added = (spare[first:] + spare[:first])[:missing]
         changes = [Change(0.0, True, table, host, slots[host]) for host in added]
         for host, count in table.published.items():
-            if host in slots:
-                is_cold = self.host_table.weight_cap[host] != NO_CAP
-                if is_cold and count > MAX_COLD_SLOT_RATIO * slots[host]:
-                    changes.append(Change(0.0, True, table, host, slots[host]))
-            elif host not in self.drains.pending and (staying or added):
+            if host in wanted:
+                if self._is_cold(host) and count > MAX_COLD_SLOT_RATIO * wanted[host]:
+                    changes.append(Change(0.0, True, table, host, wanted[host]))
+            elif host not in self.drains.pending and (wanted or added):
                 changes.append(Change(0.0, True, table, host, 0))
         return changes
 
+    def _is_cold(self, host: int) -> bool:
+        return self.host_table.weight_cap[host] != NO_CAP
+
     def _coming(self, tables: list[InterimTable], slots: dict[int, int]) -> list[Change]:
         """Shares out the hosts that no table holds, to those with most load a slot first."""
         held = set().union(*(table.published for table in tables))
--- a/plankroute/policy/publisher.py
+++ b/plankroute/policy/publisher.py
@@ -62,7 +62,7 @@
         self.drains = Drains(self, host_table, first_weights, self.flow, facts.message_window_us)
         self.target = TargetSlots(host_table, tables, self.drains, self.subsetting, self.flow)
         self.slot_changes = SlotChanges(host_table, tables, self.target, self.drains, self.flow)
-        self.binder = Binder(self, host_table, first_weights, self.flow)
+        self.binder = Binder(self, host_table, first_weights, self.flow, self.subsetting)
         self.interim_binder = InterimBinder(
             self, tables, host_table, first_weights, self.drains, self.flow, facts
         )
@@ -187,7 +187,10 @@
     def _record_channel_state(self, overhead_lines: int) -> None:
         """Notes how expensive lines are: weights keep nearer to their slots where they are."""
         all_lines = sum(len(self.users(table)) * len(table.published) for table in self.tables)
-        self.host_table.proxies = len(self.zone_of_proxy)
+        self.host_table.proxies = len(self.zone_of_proxy) - len(self.interim)
+        self.host_table.interim_routes = sum(
+            len(table.users) * len(table.published) for table in self.interim_tables
+        )
         self.host_table.channel_constrained = all_lines + overhead_lines > self.flow.allowance
         self.host_table.min_slot_change = 0.0
 
--- a/plankroute/policy/subsetting.py
+++ b/plankroute/policy/subsetting.py
@@ -85,6 +85,16 @@
         shares = max(1, math.ceil(bindable_part * self._controllers))
         return min(1.0, shares / self._controllers)
 
+    def max_users(self, ready_hosts: int, grace_slack_us: float) -> float:
+        """Returns the proxies whose requests a subset of this many hosts is meant for.
+
+        All of them, if the subset holds all hosts; else an even share of the fleet's: more would
+        overload its hosts while the others idle.
+        """
+        if self.share(ready_hosts, grace_slack_us) >= 1:
+            return math.inf
+        return self._proxies / self._controllers
+
     def bind_us(self, share: float, ready_hosts: int) -> float:
         """Returns the time to bind an even share of all proxies to this share of the hosts."""
         lines = share * ready_hosts + self._message_overhead
--- a/plankroute/state/host_statistics.py
+++ b/plankroute/state/host_statistics.py
@@ -59,7 +59,8 @@
         stats_burst_us: When the first of the request statistics came that came together last.
         possibly_withdrawn: Hosts that proxies back from other controllers may keep withdrawn, where
             binding a proxy ends that.
-        proxies: Number of joined proxies.
+        proxies: Number of joined proxies that are not on interim tables.
+        interim_routes: Hosts in the tables of the others, summed over these.
         min_slot_change: What a line costs, as a share of a host's usual slots.
         channel_constrained: Writing all slots takes more than a turn's room in the channel.
         max_warm_count: The most hosts that were ready and warm at once, at any time so far.
@@ -100,6 +101,7 @@
         self.stats_burst_us = 0
         self.possibly_withdrawn: set[int] = set()
         self.proxies = 0
+        self.interim_routes = 0
         self.min_slot_change = 0.0
         self.channel_constrained = False
         self.max_warm_count = 0
--- a/tests/policy/test_interim_tables.py
+++ b/tests/policy/test_interim_tables.py
@@ -139,3 +139,37 @@
     assert not publisher.interim and not used_tables(publisher)
     assert not probes(bench.log)
     assert all(abs(table.rate) < 1e-6 for table in publisher.interim_tables)
+
+
+def test_complete_tables_of_a_subset_take_an_even_share_of_the_proxies() -> None:
+    """Guards against the requests of the whole fleet on the subset of one controller."""
+    bench = bench_on_interim_tables(controller_count=5, controller_rank=1, proxy_count=150)
+    publisher = bench.controller.publisher
+    bench.pass_time(30 * SECOND)
+    assert len(publisher.bound) == bench.facts.proxy_count // 5
+    assert len(publisher.interim) == 4 + len(NEWCOMERS) - len(publisher.bound)
+
+
+def test_proxies_return_to_complete_tables_that_hold_all_hosts() -> None:
+    bench = bench_on_interim_tables()
+    publisher = bench.controller.publisher
+    bench.pass_time(60 * SECOND)
+    assert len(publisher.bound) == 4 + len(NEWCOMERS)
+    assert not publisher.interim and not used_tables(publisher)
+
+
+def test_a_cold_host_counts_for_less_in_a_table_with_few_slots_for_its_users() -> None:
+    """Guards against a cold host that is overloaded by a table whose other hosts have left."""
+    bench = bench_on_interim_tables()
+    tables = bench.controller.publisher.interim_binder.tables
+    table = used_tables(bench.controller.publisher)[0]
+    bench.give(changes(*[entry(900 + n, zone=n % 3, started_us=bench.now) for n in range(20)]))
+    bench.pass_time(2 * SECOND)
+    slots = dict.fromkeys(table.published, 10)
+    cold = {host for host in table.published if tables._is_cold(host)}
+    assert cold
+    usual = table.rate / sum(slots.values())
+    assert tables._slots_in(table, slots, usual) == slots
+    crowded = tables._slots_in(table, slots, usual / 2)
+    assert {host for host, count in crowded.items() if count == 5} == cold
+    assert all(crowded[host] == 10 for host in crowded.keys() - cold)
