Interim tables are left again where no more than two even shares have joined

Cause: controllers that restart one after another leave the others with somewhat over an even share of the proxies, and those over it stayed on interim tables for good. An even share as the bound now holds only where over two have joined, as after mass kills.

--- a/plankroute/policy/binding.py
+++ b/plankroute/policy/binding.py
@@ -51,7 +51,8 @@
         """Binds proxies on interim tables to complete ones, as many as these are meant for."""
         registry = self.registry
         ready_count = len(self.host_table.ready())
-        max_users = self.subsetting.max_users(ready_count, self.flow.grace_slack_us)
+        joined = len(registry.zone_of_proxy)
+        max_users = self.subsetting.max_users(ready_count, self.flow.grace_slack_us, joined)
         if len(registry.bound) >= max_users:
             return
         rest = int(min(len(registry.interim), max_users - len(registry.bound)))
--- a/plankroute/policy/subsetting.py
+++ b/plankroute/policy/subsetting.py
@@ -22,6 +22,9 @@
 MAX_BIND_SHARE_OF_GRACE = 0.5
 # Warm hosts that a subset holds at least: with fewer, proxies would hang on single hosts.
 MIN_WARM_HOSTS = 24
+# Even shares of the fleet's proxies that may use one subset: controllers that restart one after
+# another leave the others with somewhat over one.
+MAX_EVEN_SHARES = 2
 # Controllers from which on there are subsets: of two, either may be left with all proxies, which
 # half of the hosts would not bear.
 MIN_CONTROLLERS = 3
@@ -85,15 +88,20 @@
         shares = max(1, math.ceil(bindable_part * self._controllers))
         return min(1.0, shares / self._controllers)
 
-    def max_users(self, ready_hosts: int, grace_slack_us: float) -> float:
-        """Returns the proxies whose requests a subset of this many hosts is meant for.
+    def max_users(self, ready_hosts: int, grace_slack_us: float, joined: int) -> float:
+        """Returns how many proxies may use tables with a subset of this many hosts.
 
-        All of them, if the subset holds all hosts; else an even share of the fleet's: more would
-        overload its hosts while the others idle.
+        All of them, unless far more have joined than the subset is meant for: then an even share
+        of the fleet's, as more would overload its hosts while the others idle.
+
+        Args:
+            ready_hosts: Hosts listed ready.
+            grace_slack_us: What the drain grace leaves after the longest one-way delay.
+            joined: Proxies that have joined.
         """
-        if self.share(ready_hosts, grace_slack_us) >= 1:
-            return math.inf
-        return self._proxies / self._controllers
+        even_share = self._proxies / self._controllers
+        is_subset = self.share(ready_hosts, grace_slack_us) < 1
+        return even_share if is_subset and joined > MAX_EVEN_SHARES * even_share else math.inf
 
     def bind_us(self, share: float, ready_hosts: int) -> float:
         """Returns the time to bind an even share of all proxies to this share of the hosts."""
