--- a/plankroute/testbed/soak.py
+++ b/plankroute/testbed/soak.py
@@ -8,6 +8,7 @@
 import os
 import random
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import Enum
 from pathlib import Path
 
@@ -61,6 +62,35 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedFault:
+    """A fault of the script.
+
+    Attributes:
+        at_s: When it begins, in seconds from the start of the play.
+        fault: What it is.
+        member: The controller that it befalls; it is passed over if that ends or starts just then.
+        seed: Draws the rest of it.
+    """
+
+    at_s: float
+    fault: Fault
+    member: int
+    seed: int
+
+
+def plan_faults(seed: int, seconds: float, controllers: int) -> list[PlannedFault]:
+    """Draws the faults of a play, which follow from the seed alone."""
+    rng = random.Random(seed)
+    planned: list[PlannedFault] = []
+    at_s = FIRST_FAULT_S
+    while at_s < seconds - LAST_FAULT_S:
+        (fault,) = rng.choices(list(FAULT_WEIGHTS), list(FAULT_WEIGHTS.values()))
+        planned.append(PlannedFault(at_s, fault, rng.randrange(controllers), rng.getrandbits(32)))
+        at_s += rng.uniform(*FAULT_INTERVAL_S)
+    return planned
+
+
 class SoakResult(msgspec.Struct):
     """What a seed showed.
 
@@ -109,7 +139,6 @@
     def __init__(self, seed: int, seconds: float, net: int) -> None:
         self.seed = seed
         self.seconds = seconds
-        self.rng = random.Random(seed)
         self.stage = FleetStage(
             FleetSize(
                 controllers=4,
@@ -171,45 +200,42 @@
         """Does faults at drawn times; a fault may begin while others go on."""
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        at_s = FIRST_FAULT_S
-        while at_s < self.seconds - LAST_FAULT_S:
-            await asyncio.sleep(max(0.0, began_s + at_s - loop.time()))
-            (fault,) = self.rng.choices(list(FAULT_WEIGHTS), list(FAULT_WEIGHTS.values()))
-            self.begin(fault)
-            at_s += self.rng.uniform(*FAULT_INTERVAL_S)
+        for planned in plan_faults(self.seed, self.seconds, self.size.controllers):
+            await asyncio.sleep(max(0.0, began_s + planned.at_s - loop.time()))
+            self.begin(planned)
         await asyncio.sleep(max(0.0, began_s + self.seconds - loop.time()))
         if self._running:
             await asyncio.wait_for(asyncio.gather(*self._running), READY_LIMIT_S * 4)
 
-    def begin(self, fault: Fault) -> None:
-        """Begins a fault at a drawn controller; none where it has no meaning just now."""
-        free = [member for member in range(self.size.controllers) if member not in self._busy]
-        if not free:
+    def begin(self, planned: PlannedFault) -> None:
+        """Begins a fault, unless its controller ends or starts just now."""
+        member = planned.member
+        if member in self._busy:
             return
-        member = self.rng.choice(free)
+        rng = random.Random(planned.seed)
         actions: dict[Fault, Callable[[], Awaitable[None]]] = {
-            Fault.RELEASE: self.release,
+            Fault.RELEASE: lambda: self.release(rng),
             Fault.TERM: lambda: self.restart(member, Act.LEAVE, 1),
             Fault.TERM_TWICE: lambda: self.restart(member, Act.LEAVE, 2),
             Fault.KILL: lambda: self.restart(member, Act.KILL, 1),
             Fault.HUP: lambda: self.reload(member, 1),
             Fault.HUP_TWICE: lambda: self.reload(member, 2),
-            Fault.PAUSE: lambda: self.pause(member, self.rng.uniform(*PAUSE_S)),
-            Fault.KILL_MOST: lambda: self.kill_most(free),
+            Fault.PAUSE: lambda: self.pause(member, rng.uniform(*PAUSE_S)),
+            Fault.KILL_MOST: lambda: self.kill_most(member),
             Fault.FLOOD: lambda: self.flood(member),
         }
-        self.faults.append(f"{fault.value} {member}")
-        task = asyncio.ensure_future(actions[fault]())
+        self.faults.append(f"{planned.fault.value} {member}")
+        task = asyncio.ensure_future(actions[planned.fault]())
         self._running.add(task)
         task.add_done_callback(self._running.discard)
 
     # Faults
 
-    async def release(self) -> None:
+    async def release(self, rng: random.Random) -> None:
         """Replaces some hosts; half of those at the start are left in any case."""
-        count = self.rng.randint(*REPLACED_HOSTS)
+        count = rng.randint(*REPLACED_HOSTS)
         present = sorted(self.stage.present)
-        self.stage.replace_hosts(self.rng.sample(present, count), count)
+        self.stage.replace_hosts(rng.sample(present, count), count)
 
     async def restart(self, member: int, act: Act, times: int) -> None:
         """Ends a controller by a signal, sent so many times, and starts it again."""
@@ -223,9 +249,10 @@
         await self.start(member)
         self._busy.discard(member)
 
-    async def kill_most(self, members: list[int]) -> None:
-        """Kills all of these but one, at once: all proxies come to whom is left."""
-        killed = members[1:]
+    async def kill_most(self, survivor: int) -> None:
+        """Kills all other controllers at once: all proxies come to the one that is left."""
+        others = set(range(self.size.controllers)) - {survivor}
+        killed = sorted(others - self._busy)
         self._busy.update(killed)
         await asyncio.gather(*(self.stage.end(member, Act.KILL) for member in killed))
         await self.stage.until(
