Interim tables: the mean load in one place, no look at the channel where none is used

Found reading the whole change: the mean load stood twice, and each turn worked out the channel's room before it looked whether any proxy is on interim tables.

--- a/plankroute/policy/interim_binding.py
+++ b/plankroute/policy/interim_binding.py
@@ -89,14 +89,15 @@
         """Writes the changes of interim tables that gather, if it is time for them and they fit."""
         registry = self.registry
         now = registry.scheduler.now
+        if not registry.interim or now - self._gathered_us < self.flow.max_gap_us:
+            return
         overhead_lines = len(registry.interim) * registry.channel.message_overhead
         budget = self.flow.available_lines(registry, self.flow.allowance) - overhead_lines
-        is_due = now - self._gathered_us >= self.flow.max_gap_us
-        if not registry.interim or not is_due or budget <= 0:
+        if budget <= 0:
             return
         self._gathered_us = now
         for change in self.tables.ordinary_changes():
-            budget -= write_slot(self.registry, self.host_table, change, budget)
+            budget -= write_slot(registry, self.host_table, change, budget)
 
     def note_limit(self, limit: commands.SetAdmissionLimit) -> None:
         """Notes a limit that was written for a complete table: interim tables start with it."""
--- a/plankroute/policy/interim_tables.py
+++ b/plankroute/policy/interim_tables.py
@@ -104,7 +104,7 @@
         for base in self._bases_in_use():
             slots = self._target_slots(base)
             tables = self._tables_of(base)
-            mean_load = sum(table.rate for table in tables) / max(1, sum(slots.values()))
+            mean_load = _mean_load(tables, slots)
             for table in tables:
                 changes += self._leaving(table, slots, mean_load)
         return changes
@@ -115,7 +115,7 @@
         for base in self._bases_in_use():
             slots = self._target_slots(base)
             tables = self._tables_of(base)
-            mean_load = sum(table.rate for table in tables) / max(1, sum(slots.values()))
+            mean_load = _mean_load(tables, slots)
             changes += self._coming(tables, slots)
             for table in tables:
                 wanted = self._slots_in(table, slots, mean_load)
@@ -219,5 +219,10 @@
     return table.rate / max(1, sum(table.published.values()))
 
 
+def _mean_load(tables: list[InterimTable], slots: dict[int, int]) -> float:
+    """Returns the requests a second for each slot, if every host had its slots in one table."""
+    return sum(table.rate for table in tables) / max(1, sum(slots.values()))
+
+
 def _ratio(one: int, other: int) -> float:
     return max(one, other) / max(1, min(one, other))
