--- a/review/standin/proxies.py
+++ b/review/standin/proxies.py
@@ -10,7 +10,6 @@
 from standin.hosts import Host
 from standin.record import Record
 
-CYCLE_S = 1.0  # reports are gathered so often
 REDIAL_S = 0.3
 REQUEST_TIMEOUT_S = 2.0
 
@@ -74,10 +73,11 @@
         usage: Requests since the last report, by proxy and class.
     """
 
-    def __init__(self, record: Record, zone: str, late_s: float) -> None:
+    def __init__(self, record: Record, zone: str, cycle_s: float, late_s: float) -> None:
         """Creates a collector that is not connected."""
         self.record = record
         self.zone = zone
+        self.cycle_s = cycle_s
         self.late_s = late_s
         self.tries: Counter[str] = Counter()
         self.failed: Counter[str] = Counter()
@@ -91,7 +91,7 @@
                 _, writer = await asyncio.open_connection(host, port)
                 writer.write(f"agent locality={self.zone}\r\n".encode())
                 while not writer.is_closing():
-                    await asyncio.sleep(CYCLE_S)
+                    await asyncio.sleep(self.cycle_s)
                     lines = self._lines()
                     await asyncio.sleep(self.late_s)
                     writer.write("".join(lines).encode())
@@ -107,12 +107,12 @@
             rtt = f" rtt={self.time_ms[uid] / good:.1f}" if good else ""
             lines.append(
                 f"outcomes locality={self.zone} endpoint={uid} total={total}"
-                f" errors={self.failed[uid]}{rtt} interval={1000 * CYCLE_S}\r\n"
+                f" errors={self.failed[uid]}{rtt} interval={1000 * self.cycle_s}\r\n"
             )
         for (node, name), total in sorted(self.usage.items()):
             lines.append(
                 f"demand node={node} route={name} total={total} errors=0"
-                f" interval={1000 * CYCLE_S}\r\n"
+                f" interval={1000 * self.cycle_s}\r\n"
             )
         self.tries.clear()
         self.failed.clear()
@@ -161,7 +161,6 @@
         self.collector = collector
         self.hosts = hosts
         self.tables: dict[str, dict[str, float]] = {name: {} for name in classes}
-        self.own_zone_classes: set[str] = set()
         self.dropped: set[str] = set()
         self.holds_orders = False
         self.spoil = False
@@ -176,14 +175,6 @@
         self.messages = 0
         self._served = 0
 
-    def start_with(self, uids: list[str]) -> None:
-        """Gives the proxy its standing table."""
-        for name in self.classes:
-            own = name in self.own_zone_classes
-            self.tables[name] = {
-                uid: 1.0 for uid in uids if not own or self.hosts[uid].zone == self.zone
-            }
-
     # The stream
 
     async def run(self, address: Callable[[], tuple[str, str, int]], way: "Way") -> None:
@@ -270,13 +261,13 @@
     async def report_usage(self) -> None:
         """Reports each cycle the classes for which requests came, until cancelled."""
         while True:
-            await asyncio.sleep(CYCLE_S)
+            await asyncio.sleep(self.collector.cycle_s)
             for name, total in sorted(self.usage.items()):
                 if not self.reports_usage:
                     self.collector.usage[self.node, name] += total
                 elif self.stream:
                     line = f"demand node={self.node} route={name} total={total} errors=0"
-                    line += f" interval={1000 * CYCLE_S}\r\n"
+                    line += f" interval={1000 * self.collector.cycle_s}\r\n"
                     loop = asyncio.get_running_loop()
                     loop.call_later(self.collector.late_s, self._report, self.stream, line)
             self.usage.clear()
