--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -37,6 +37,7 @@
         way_s: Usual time of a message from the channel to its proxy.
         sums_late_s: How late reports are.
         bare_s: The limit of the first rule.
+        queue_s: The time in which the channel sends as many lines as may wait in it.
     """
 
     zones: tuple[str, ...]
@@ -59,11 +60,12 @@
     weights: str
     report: str
     fields: tuple[str, ...]
+    queue_s: float = 2.0
 
     @property
     def queue_cap(self) -> int:
-        """Lines that may wait in the channel: what it sends in 2 s."""
-        return int(2 * self.lines_per_s)
+        """Lines that may wait in the channel."""
+        return int(self.queue_s * self.lines_per_s)
 
     def may_serve(self, product: Product, proxy_zone: str, host_zone: str) -> bool:
         """Returns whether a host's zone is open to a proxy's requests of a class."""
@@ -194,6 +196,33 @@
     fields=("rif",),
 )
 
+KOCHKISTE_LATER = Site(
+    zones=("wien", "graz", "linz"),
+    models=("gen-a", "gen-b", "gen-c"),
+    products=(
+        Product("basket-view", "retryable", 1200.0, 4000.0, 1.0),
+        Product("basket-edit", "dedup", 1500.0, 4000.0, 2.0, is_write=True),
+        Product("checkout", "fragile", 2000.0, 5000.0, 5.0, is_write=True),
+    ),
+    grace_s=3.0,
+    head=6,
+    lines_per_s=2200.0,
+    way_s=0.25,
+    way_most_s=0.44,
+    sums_late_s=0.7,
+    cycle_s=1.0,
+    bare_s=3.1,
+    cold_s=15.0,
+    cold_from=0.23,
+    fall_multiple=3.0,
+    tip_after_s=3.0,
+    admit="silent",
+    peers=False,
+    weights="silent",
+    report="piggyback",
+    fields=("rif",),
+)
+
 
 class Deployment:
     """Hosts, proxies, collectors, and a steward with its discovery agent for each name.
--- a/review/standin/proxies.py
+++ b/review/standin/proxies.py
@@ -142,6 +142,7 @@
         spoil: While set, its answers to marks lack a field.
         reports_usage: Whether it reports its usage on its stream; else its zone's collector does.
         sent: The requests that it sent.
+        redial: Returns how long it waits before it dials again.
     """
 
     def __init__(
@@ -174,6 +175,7 @@
         self.stream: Stream | None = None
         self.messages = 0
         self._served = 0
+        self.redial: Callable[[], float] = lambda: REDIAL_S
 
     # The stream
 
@@ -186,7 +188,7 @@
                 await self._serve_stream(name, reader, writer, way)
             except OSError:
                 pass
-            await asyncio.sleep(REDIAL_S)
+            await asyncio.sleep(self.redial())
 
     async def _serve_stream(
         self, name: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, way: "Way"
