--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -242,7 +242,7 @@
         self.proxy_count = proxies
         self.hosts: dict[str, Host] = {}
         self.proxies: list[Proxy] = []
-        self.collectors: dict[str, Collector] = {}
+        self.collectors: dict[str, dict[str, Collector]] = {}  # by zone, steward
         self.agents: dict[str, Discovery] = {}
         self.stewards: dict[str, Steward] = {}
         self.channels: dict[str, Channel] = {}
@@ -286,7 +286,10 @@
         """Creates the proxies, two or more for each zone, with their standing tables."""
         site = self.site
         self.collectors = {
-            zone: Collector(self.record, zone, site.cycle_s, site.sums_late_s)
+            zone: {
+                name: Collector(self.record, zone, site.cycle_s, site.sums_late_s)
+                for name in self.stewards
+            }
             for zone in site.zones
         }
         for node in range(self.proxy_count):
@@ -308,7 +311,7 @@
         """Starts the proxies and the collectors.
 
         Args:
-            steward_of: Names the steward that a proxy dials now. Collectors report to all.
+            steward_of: Names the steward that a proxy dials now.
         """
 
         def address_of(proxy: Proxy) -> Callable[[], tuple[str, str, int]]:
@@ -323,9 +326,10 @@
             self.spawn(proxy.run(address_of(proxy), way))
             self.spawn(proxy.report_usage())
             self.spawn(proxy.send_requests())
-        for collector in self.collectors.values():
-            steward = next(iter(self.stewards.values()))
-            self.spawn(collector.run(steward.host, steward.port))
+        for collectors in self.collectors.values():
+            for name, collector in collectors.items():
+                steward = self.stewards[name]
+                self.spawn(collector.run(steward.host, steward.port))
 
     def spawn(self, task: Task) -> None:
         """Starts a task that ends with the run."""
--- a/review/standin/proxies.py
+++ b/review/standin/proxies.py
@@ -65,12 +65,11 @@
 
 
 class Collector:
-    """The collector of a zone: it sends what the zone's proxies met, and the usage given to it.
+    """A zone's collector at one steward: it sends what the steward's proxies of the zone met.
 
     Attributes:
         zone: The zone.
         tries: Tries since the last report, by host.
-        usage: Requests since the last report, by proxy and class.
     """
 
     def __init__(self, record: Record, zone: str, cycle_s: float, late_s: float) -> None:
@@ -82,7 +81,6 @@
         self.tries: Counter[str] = Counter()
         self.failed: Counter[str] = Counter()
         self.time_ms: Counter[str] = Counter()
-        self.usage: Counter[tuple[int, str]] = Counter()
 
     async def run(self, host: str, port: int) -> None:
         """Connects to a steward and reports to it until cancelled."""
@@ -109,15 +107,9 @@
                 f"outcomes locality={self.zone} endpoint={uid} total={total}"
                 f" errors={self.failed[uid]}{rtt} interval={1000 * self.cycle_s}\r\n"
             )
-        for (node, name), total in sorted(self.usage.items()):
-            lines.append(
-                f"demand node={node} route={name} total={total} errors=0"
-                f" interval={1000 * self.cycle_s}\r\n"
-            )
         self.tries.clear()
         self.failed.clear()
         self.time_ms.clear()
-        self.usage.clear()
         return lines
 
 
@@ -140,7 +132,6 @@
         tables: Weight by host, by class.
         dropped: Hosts that it shuts out.
         spoil: While set, its answers to marks lack a field.
-        reports_usage: Whether it reports its usage on its stream; else its zone's collector does.
         sent: The requests that it sent.
         redial: Returns how long it waits before it dials again.
     """
@@ -151,22 +142,30 @@
         node: int,
         zone: str,
         classes: list[str],
-        collector: Collector,
+        collectors: dict[str, Collector],
         hosts: dict[str, Host],
     ) -> None:
-        """Creates a proxy without a stream and with empty tables."""
+        """Creates a proxy without a stream and with empty tables.
+
+        Args:
+            record: The record of the run.
+            node: Its number.
+            zone: Its zone.
+            classes: The names of the request classes.
+            collectors: Its zone's collector at each steward.
+            hosts: The hosts by uid.
+        """
         self.record = record
         self.node = node
         self.zone = zone
         self.classes = classes
-        self.collector = collector
+        self.collectors = collectors
         self.hosts = hosts
         self.tables: dict[str, dict[str, float]] = {name: {} for name in classes}
         self.dropped: set[str] = set()
         self.holds_orders = False
         self.spoil = False
         self.spoilt = 0
-        self.reports_usage = True
         self.rate = 5.0
         self.usual_rate = 5.0
         self.usage: Counter[str] = Counter()
@@ -263,15 +262,14 @@
     async def report_usage(self) -> None:
         """Reports each cycle the classes for which requests came, until cancelled."""
         while True:
-            await asyncio.sleep(self.collector.cycle_s)
+            first = next(iter(self.collectors.values()))
+            await asyncio.sleep(first.cycle_s)
             for name, total in sorted(self.usage.items()):
-                if not self.reports_usage:
-                    self.collector.usage[self.node, name] += total
-                elif self.stream:
+                if self.stream:
                     line = f"demand node={self.node} route={name} total={total} errors=0"
-                    line += f" interval={1000 * self.collector.cycle_s}\r\n"
+                    line += f" interval={1000 * first.cycle_s}\r\n"
                     loop = asyncio.get_running_loop()
-                    loop.call_later(self.collector.late_s, self._report, self.stream, line)
+                    loop.call_later(first.late_s, self._report, self.stream, line)
             self.usage.clear()
 
     def _report(self, stream: Stream, line: str) -> None:
@@ -314,11 +312,14 @@
         self.sent.append(Sent(sent_at, self.node, uid, joined_at, steward))
         self.record.write(f"proxy {self.node} sends {name} to {uid}")
         answered = await self._call(uid, f"/{name}/{self.node}/{self._served}")
-        self.collector.tries[uid] += 1
+        collector = self.collectors.get(steward)
+        if collector is None:
+            return  # it had no stream: no steward is told
+        collector.tries[uid] += 1
         if answered:
-            self.collector.time_ms[uid] += round(1000 * (self.record.now() - sent_at))
+            collector.time_ms[uid] += round(1000 * (self.record.now() - sent_at))
         else:
-            self.collector.failed[uid] += 1
+            collector.failed[uid] += 1
 
     async def _call(self, uid: str, target: str) -> bool:
         host, port = self.hosts[uid].endpoint.split(":")
