Log which sequence number a rejected line or a stalled session leaves awaited

The log had `rejected` and, seconds later, `session_stalled`, but not whether the second waits for the answer that the first one rejected.

Change: both events carry `awaited`, the oldest sequence number without an acknowledgement; `session_stalled` also says for how long no data arrived.

--- a/plankroute/net/proxies/admission.py
+++ b/plankroute/net/proxies/admission.py
@@ -56,6 +56,10 @@
         """Returns whether the peer has not yet identified itself as a proxy or a collector."""
         return self.role in (Role.UNIDENTIFIED, Role.LIVENESS_CHECK)
 
+    def awaited(self) -> int | None:
+        """Returns the oldest unacknowledged sequence number, or None if there is none."""
+        return self.unacknowledged[0] if self.unacknowledged else None
+
 
 def _reject(reason: str) -> Rejection:
     return Rejection(RejectionStage.ADMISSION, reason)
--- a/plankroute/net/proxies/listener.py
+++ b/plankroute/net/proxies/listener.py
@@ -148,7 +148,11 @@
         """
         identity = connection.identity
         self.telemetry.reject(
-            rejection.stage.value, rejection.reason, role=identity.role.value, proxy=identity.proxy
+            rejection.stage.value,
+            rejection.reason,
+            role=identity.role.value,
+            proxy=identity.proxy,
+            awaited=identity.awaited(),
         )
         if identity.is_unidentified():
             connection.outbound.send_and_close(ERROR_LINE)
--- a/plankroute/net/proxies/sessions.py
+++ b/plankroute/net/proxies/sessions.py
@@ -90,13 +90,16 @@
         """Reports the proxies of newly stalled sessions as left."""
         now = time.monotonic()
         for proxy, connection in self.by_proxy.items():
-            if proxy in self.joined and connection.ack_silence_s(now) > self.stall_timeout_s:
+            silence_s = connection.ack_silence_s(now)
+            if proxy in self.joined and silence_s > self.stall_timeout_s:
                 self.telemetry.count("sessions.stalled")
                 self.telemetry.log.event(
                     "warning",
                     "session_stalled",
                     proxy=proxy,
                     unacknowledged=len(connection.identity.unacknowledged),
+                    awaited=connection.identity.awaited(),
+                    silent_ms=round(1000 * silence_s),
                 )
                 self._report_left(proxy)
 
--- a/tests/net/test_sessions.py
+++ b/tests/net/test_sessions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import orjson
 import pytest
 from support.faulty_discovery import DRAINING_HOST_LINE
 from support.service_harness import HELLO, Client, RunningService, run_scenario
@@ -107,6 +108,24 @@
     run_scenario(scenario)
 
 
+def test_a_rejection_and_a_stall_are_logged_with_the_awaited_sequence_number() -> None:
+    async def scenario(running: RunningService) -> None:
+        proxy = await running.connect(HELLO)
+        bound = await proxy.receive("replace=1")
+        sequence_numbers.append(int(bound.split("stamp=")[1]))
+        proxy.send("ack node=3 nonce=1")
+        await running.wait_until(lambda: running.counts["rejected.parsing"] == 1)
+        running.service.listener.sessions.stall_timeout_s = -1.0
+        running.service.listener.table.sweep()
+
+    sequence_numbers = list[int]()
+    log = list[bytes]()
+    run_scenario(scenario, log)
+    lines = [orjson.loads(line) for line in log]
+    named = [line["awaited"] for line in lines if line["event"] in ("rejected", "session_stalled")]
+    assert named == 2 * sequence_numbers
+
+
 @pytest.mark.parametrize(
     "broken", [b"\x88\xc9\x90\r\n", b"ack node=3 nonce=demand node=3 route=lookup\r\n"]
 )
