Ping a quiet proxy whose acknowledgement was rejected, so that it does not stall

Cause: a proxy acknowledges each message once. A garbled acknowledgement is rejected and its sequence number stays outstanding; if nothing is written and the proxy has nothing to send, the session stalls after three times the longest normal time of an acknowledgement, and the proxy counts as left: it gets no withdrawals. The lines also stay in the channel's accounting.

Why this works: a rejected line on a session that owes an acknowledgement is reported to the core. After the longest normal time of an acknowledgement without one, the proxy gets a message without changes; its acknowledgement covers all earlier ones. That is a third of the stall timeout. A proxy that is cut off does not answer and stalls as before. A proxy that is written to anyway needs no ping, so with steady traffic nothing changes.

`Channel.charge` counted the overhead twice for a message whose first command has no lines; no command had none before. The longest time of an acknowledgement is now worked out once, in `FlowControl`.

--- a/plankroute/controller/controller.py
+++ b/plankroute/controller/controller.py
@@ -143,7 +143,7 @@
             case events.ProxyJoined():
                 self.scheduler.put(self.publisher, event)
                 return Tick.CHANGED
-            case events.ProxyLeft() | events.Acknowledged():
+            case events.ProxyLeft() | events.Acknowledged() | events.AcknowledgementRejected():
                 self.scheduler.put(self.publisher, event)
             case events.HostList():
                 return self._on_host_list(event)
--- a/plankroute/controller/message_builder.py
+++ b/plankroute/controller/message_builder.py
@@ -108,25 +108,31 @@
         self._start_batch()
         acknowledgement: commands.RequestAcknowledgement | None = None
         for command in batch:
-            match command:
-                case commands.SetRoute():
-                    self._set_route(command)
-                case commands.BindProxy():
-                    self._bind_proxy(command)
-                case commands.WithdrawHost():
-                    self._withdraw_host(command)
-                case commands.SetAdmissionLimit():
-                    self._set_admission_limit(command)
-                case commands.ClearTable():
-                    self._clear_table(command.table)
-                case commands.RequestAcknowledgement():
-                    acknowledgement = command
+            if isinstance(command, commands.RequestAcknowledgement):
+                acknowledgement = command
+            else:
+                self._apply(command)
         if acknowledgement is None:
             return self._messages(None)
         if acknowledgement.all_proxies:
             self._recipients |= dict.fromkeys(self.streams)
         return self._messages(acknowledgement.sequence_number)
 
+    def _apply(self, command: commands.Command) -> None:
+        match command:
+            case commands.SetRoute():
+                self._set_route(command)
+            case commands.BindProxy():
+                self._bind_proxy(command)
+            case commands.WithdrawHost():
+                self._withdraw_host(command)
+            case commands.SetAdmissionLimit():
+                self._set_admission_limit(command)
+            case commands.ClearTable():
+                self._clear_table(command.table)
+            case commands.PingProxy():
+                self._ping_proxy(command.proxy)
+
     def _messages(self, sequence_number: int | None) -> list[Message]:
         """Returns the messages of the batch.
 
@@ -276,6 +282,11 @@
                 if effective is not None:
                     draft.limits[request_class] = effective
 
+    def _ping_proxy(self, proxy: int) -> None:
+        """Makes a joined proxy a recipient of the batch, whether or not the batch changes it."""
+        if proxy in self.streams:
+            self._recipients[proxy] = None
+
     # Helpers of the commands
 
     def _selected_classes(self, request_classes: tuple[int, ...] | None) -> Sequence[int]:
--- a/plankroute/events/commands.py
+++ b/plankroute/events/commands.py
@@ -104,6 +104,17 @@
     all_proxies: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class PingProxy:
+    """Sends a message to a proxy even if it contains no changes, so that the proxy acknowledges it.
+
+    Attributes:
+        proxy: The proxy. If it has left in the meantime, nothing happens.
+    """
+
+    proxy: int
+
+
 @dataclass(frozen=True, slots=True)
 class CheckHealth:
     """Starts a health check of a host; a `HealthCheckResult` follows."""
@@ -177,6 +188,7 @@
     | BindProxy
     | SetAdmissionLimit
     | RequestAcknowledgement
+    | PingProxy
     | CheckHealth
     | SendToPeer
     | SetTimer
--- a/plankroute/events/events.py
+++ b/plankroute/events/events.py
@@ -228,6 +228,17 @@
     elapsed_us: int
 
 
+@dataclass(frozen=True, slots=True)
+class AcknowledgementRejected:
+    """A line of a proxy was rejected that may have been an acknowledgement which is due.
+
+    Attributes:
+        proxy: Id of the proxy.
+    """
+
+    proxy: int
+
+
 @dataclass(frozen=True, slots=True)
 class HealthCheckResult:
     """Result of a health check.
@@ -330,6 +341,7 @@
     | SliceAssignment
     | SliceRoute
     | Acknowledged
+    | AcknowledgementRejected
     | HealthCheckResult
     | PeerMessage
     | ControllerStatus
--- a/plankroute/net/process/core_runner.py
+++ b/plankroute/net/process/core_runner.py
@@ -126,6 +126,8 @@
             match command:
                 case commands.SetTimer(after_us, token):
                     self.timers.schedule(now_us + after_us, token)
+                case commands.PingProxy():
+                    self.telemetry.count("sent.pings")
                 case commands.CheckHealth(host):
                     self.outputs.check_health(host)
                 case commands.PollHostList() | commands.SubscribeHostList():
--- a/plankroute/net/process/service.py
+++ b/plankroute/net/process/service.py
@@ -34,6 +34,7 @@
 from plankroute.net.proxies.listener import Listener
 from plankroute.net.proxies.sender import MessageSender
 from plankroute.net.proxies.sessions import Sessions
+from plankroute.units import SECOND_US
 
 if TYPE_CHECKING:
     from plankroute.config.feature_file import FeatureFile
@@ -109,7 +110,8 @@
         facts = self.configuration.facts
         submit = self.core.submit
         admission = Admission(self.directory, facts.proxy_count, _max_latency_us(facts))
-        sessions = Sessions(admission.joined, self.telemetry, _max_ack_s(facts), submit)
+        max_ack_s = self.core.controller.publisher.flow.max_acknowledgement_us / SECOND_US
+        sessions = Sessions(admission.joined, self.telemetry, max_ack_s, submit)
         return Listener(admission, sessions, self.telemetry, self.configuration.limits, submit)
 
     def _build_discovery(self) -> Discovery:
@@ -295,15 +297,6 @@
     return LATENCY_MARGIN * max(deadlines_us, default=0)
 
 
-def _max_ack_s(facts: StartFacts) -> float:
-    """Returns the longest normal time until an acknowledgement, in seconds.
-
-    It is the time to send a full channel plus the longest one-way delay.
-    """
-    channel_s = facts.backlog_cap_lines / max(1.0, facts.channel_lines_per_s)
-    return channel_s + facts.max_one_way_delay_us / 1e6
-
-
 def read_configuration(read: FileReader = read_file) -> Configuration:
     """Reads the configuration from the file that ``GW_CONFIG`` names.
 
--- a/plankroute/net/proxies/listener.py
+++ b/plankroute/net/proxies/listener.py
@@ -161,6 +161,8 @@
             self.telemetry.count("dropped.unreadable")
             connection.outbound.abort()
             self.sessions.close(connection, rejection.reason)
+        else:
+            self.sessions.report_rejection(connection)
 
     def _handle_admitted(
         self, connection: Connection, message: InboundMessage, event: events.Event | None
--- a/plankroute/net/proxies/sessions.py
+++ b/plankroute/net/proxies/sessions.py
@@ -86,6 +86,15 @@
             self.joined.discard(proxy)
             self.submit(events.ProxyLeft(proxy))
 
+    def report_rejection(self, connection: Connection) -> None:
+        """Reports that a line of a session was rejected, if an acknowledgement is due there.
+
+        The rejected line may have been the acknowledgement, which the proxy will not repeat.
+        """
+        hello = self.hellos.get(connection)
+        if hello and connection.identity.unacknowledged:
+            self.submit(events.AcknowledgementRejected(hello.proxy))
+
     def check_stalled(self) -> None:
         """Reports the proxies of newly stalled sessions as left."""
         now = time.monotonic()
--- a/plankroute/policy/flow_control.py
+++ b/plankroute/policy/flow_control.py
@@ -39,6 +39,8 @@
     Attributes:
         lines_per_us: Pace of the channel.
         backlog_cap: Maximum number of unacknowledged lines.
+        max_acknowledgement_us: Longest normal time until an acknowledgement: the time to send a
+            full channel plus the longest one-way delay.
         grace_slack_us: Drain grace minus the longest one-way delay.
         allowance: Number of queued lines that deferrable changes must not exceed.
         urgent_lines_in_grace: Lines that the channel carries within the grace slack in addition to
@@ -55,6 +57,8 @@
     def __init__(self, facts: StartFacts) -> None:
         self.lines_per_us = facts.channel_lines_per_s / SECOND_US
         self.backlog_cap = facts.backlog_cap_lines
+        full_channel_us = self.backlog_cap / max(1.0, facts.channel_lines_per_s) * SECOND_US
+        self.max_acknowledgement_us = full_channel_us + facts.max_one_way_delay_us
         self.grace_slack_us = max(0, facts.drain_grace_us - facts.max_one_way_delay_us)
         lines_in_grace = self.grace_slack_us * self.lines_per_us
         deferrable_lines = DEFERRABLE_SHARE_OF_GRACE * lines_in_grace
--- a/plankroute/policy/publisher.py
+++ b/plankroute/policy/publisher.py
@@ -3,6 +3,7 @@
 from plankroute.events import commands, events
 from plankroute.events.facts import StartFacts
 from plankroute.policy import mass_disconnect
+from plankroute.policy.acknowledgement_retries import AcknowledgementRetries
 from plankroute.policy.admission import open_limits
 from plankroute.policy.binding import Binder
 from plankroute.policy.constants import TURN_US
@@ -31,7 +32,7 @@
 
     Withdrawals are written first and at once, then urgent slots. Admission limits and the slots of
     the greatest benefit follow on turns for which the channel has capacity. Binds are written at
-    the regular pace of the channel.
+    the regular pace of the channel. Proxies whose acknowledgement was rejected are pinged last.
 
     Attributes:
         flow: Limits on queued lines.
@@ -68,6 +69,7 @@
         self.interim_binder = InterimBinder(
             self, tables, host_table, first_weights, self.drains, self.flow, facts
         )
+        self.acknowledgement_retries = AcknowledgementRetries(self, self.flow)
         self.last_message_us = -facts.message_window_us
         self.pending_limits: dict[LimitKey, commands.SetAdmissionLimit] = {}
         self._proxies_may_lack_hosts = False
@@ -111,7 +113,9 @@
             case Tick():
                 self.on_tick(is_turn=event is Tick.TURN)
             case events.Acknowledged():
-                self.channel.acknowledge(event.proxy, event.sequence_number)
+                self.acknowledge(event.proxy, event.sequence_number)
+            case events.AcknowledgementRejected():
+                self.reject_acknowledgement(event.proxy)
             case events.HostEntry():
                 self.drains.on_entry(event)
             case events.ProxyJoined():
@@ -184,6 +188,7 @@
             )
             deferrable = [change for change in changes if not change.urgent]
             self._write_deferrable(deferrable, min(budget, deferrable_budget))
+        self.acknowledgement_retries.write()
         if self.channel.batch:
             self.last_message_us = now
 
--- a/plankroute/simulator/command_records.py
+++ b/plankroute/simulator/command_records.py
@@ -50,7 +50,7 @@
     """Encodes one command.
 
     Raises:
-        TypeError: The protocol has no record for the command, which is a `ForgetHost`.
+        TypeError: The protocol has no record for the command: a `ForgetHost` or a `PingProxy`.
     """
     match command:
         case commands.SetRoute():
@@ -93,6 +93,8 @@
             return _encode_text(CommandCode.TRACE, instance, command.text)
         case commands.ForgetHost():
             raise TypeError("ForgetHost has no record: the simulator never drops a host")
+        case commands.PingProxy():
+            raise TypeError("PingProxy has no record: no acknowledgement is rejected here")
 
 
 def encode_failure(instance: int, text: str) -> bytes:
--- a/plankroute/state/channel.py
+++ b/plankroute/state/channel.py
@@ -59,9 +59,8 @@
         The first lines of the batch for a proxy also count the message overhead.
         """
         for proxy in proxies:
-            lines_before = self.batch.get(proxy, 0)
-            self.batch[proxy] = lines_before + lines
-            overhead = 0 if lines_before else self.message_overhead
+            overhead = 0 if proxy in self.batch else self.message_overhead
+            self.batch[proxy] = self.batch.get(proxy, 0) + lines
             self.unacknowledged += lines + overhead
             self.queued += lines + overhead
             self.written[kind] += lines
--- a/plankroute/state/proxy_registry.py
+++ b/plankroute/state/proxy_registry.py
@@ -14,6 +14,7 @@
     | events.ProxyJoined
     | events.ProxyLeft
     | events.Acknowledged
+    | events.AcknowledgementRejected
     | commands.SetAdmissionLimit
     | Tick
 )
@@ -25,6 +26,7 @@
     commands.WithdrawHost: LineKind.WITHDRAWAL,
     commands.SetAdmissionLimit: LineKind.LIMIT,
     commands.ClearTable: LineKind.SLOT,
+    commands.PingProxy: LineKind.OVERHEAD,
 }
 
 
@@ -67,6 +69,9 @@
         returning: Joined proxies that came with older tables. They may keep hosts withdrawn by
             command of another controller.
         notified: By withdrawn host, the proxies that were told so on their current streams.
+        acknowledgement_rejected_us: When an acknowledgement of a joined proxy was rejected, or the
+            proxy was last asked for another one since, in microseconds. Only proxies that have
+            acknowledged nothing since then have an entry.
         disconnected_at: When the stream of each recently disconnected proxy ended, in microseconds.
     """
 
@@ -83,6 +88,7 @@
         self.unbound: dict[int, WaitingProxy] = {}
         self.returning: set[int] = set()
         self.notified: dict[int, set[int]] = {}
+        self.acknowledgement_rejected_us: dict[int, int] = {}
         self.disconnected_at: dict[int, int] = {}
 
     def join(self, event: events.ProxyJoined) -> None:
@@ -102,8 +108,19 @@
             proxies.discard(proxy)
         self.zone_of_proxy.pop(proxy, None)
         self.unbound.pop(proxy, None)
+        self.acknowledgement_rejected_us.pop(proxy, None)
         self.channel.disconnect(proxy)
 
+    def acknowledge(self, proxy: int, sequence_number: int) -> None:
+        """Records that a proxy acknowledged a message and with it all earlier ones."""
+        self.acknowledgement_rejected_us.pop(proxy, None)
+        self.channel.acknowledge(proxy, sequence_number)
+
+    def reject_acknowledgement(self, proxy: int) -> None:
+        """Records that an acknowledgement was rejected. Does nothing if the proxy is not joined."""
+        if proxy in self.zone_of_proxy:
+            self.acknowledgement_rejected_us.setdefault(proxy, self.scheduler.now)
+
     def enter_complete_tables(self, proxy: int) -> None:
         """Records that a proxy was bound to complete tables."""
         self.unbound.pop(proxy, None)
--- a/tests/controller/test_message_builder.py
+++ b/tests/controller/test_message_builder.py
@@ -271,6 +271,13 @@
     assert {message.proxy: message.sequence_number for message in messages} == {0: 1, 1: 1}
 
 
+def test_a_ping_is_a_message_with_nothing_but_the_sequence_number() -> None:
+    pings = [commands.PingProxy(1), commands.PingProxy(7)]  # 7 is not joined
+    (message,) = messages_for(*pings, commands.RequestAcknowledgement(905))
+    assert message.proxy == 1 and message.line_count() == 1
+    assert encode(message) == b"push stamp=905\r\n"
+
+
 def test_a_withdrawal_reaches_only_proxies_that_may_have_a_route_to_the_host() -> None:
     message_builder = MessageBuilder(1)
     for proxy in (0, 1, 2):
--- /dev/null
+++ b/tests/net/test_rejected_acknowledgements.py
@@ -0,0 +1,146 @@
+"""A controller process beside proxies whose acknowledgements it can't read, or never gets."""
+
+import asyncio
+import os
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from support.service_harness import HELLO, Client, FakeDiscovery, config, endpoint_list, free_port
+
+GARBLING, SILENT = 3, 4  # proxies
+# The longest normal time of an acknowledgement is then a fifth of a second, and a session stalls
+# after three times that.
+BACKLOG_CAP_LINES = 400
+TIMEOUT_S = 20
+
+
+class ControllerProcess:
+    """A controller in a process of its own, with a fake discovery.
+
+    Attributes:
+        stalled: Proxies whose sessions stalled, in the order of the log.
+    """
+
+    def __init__(
+        self, process: asyncio.subprocess.Process, port: int, discovery: FakeDiscovery
+    ) -> None:
+        assert process.stderr
+        self._log = process.stderr
+        self._port = port
+        self._discovery = discovery
+        self.stalled: list[int] = []
+
+    async def wait_for_event(self, name: str, **fields: object) -> None:
+        """Reads the log up to an event with these fields."""
+        while True:
+            line: dict[str, Any] = orjson.loads(await self._log.readline())
+            if line["event"] == "session_stalled":
+                self.stalled.append(line["proxy"])
+            if line["event"] == name and fields.items() <= line.items():
+                return
+
+    async def connect(self, proxy: int) -> Client:
+        """Joins a proxy, which acknowledges its complete table."""
+        client = Client(*await asyncio.open_connection("127.0.0.1", self._port))
+        client.send(HELLO.replace("node=3", f"node={proxy}"))
+        bound = await client.receive("replace=1")
+        client.send(acknowledgement(proxy, bound))
+        return client
+
+    async def drain(self, watch: asyncio.StreamWriter, revision: int, host: str) -> None:
+        """Lists a host as draining."""
+        change = endpoint_list(revision, host, whole=False, state="DRAINING")
+        self._discovery.send(watch, orjson.dumps(change) + b"\n")
+
+
+def acknowledgement(proxy: int, message: str) -> str:
+    """Returns the line with which a proxy acknowledges a message."""
+    return f"ack node={proxy} nonce={message.split('stamp=')[1]} latency=1"
+
+
+@asynccontextmanager
+async def running_controller(
+    path: Path,
+) -> AsyncIterator[tuple[ControllerProcess, asyncio.StreamWriter]]:
+    """Runs a controller; yields it once it listens, with its watch of the endpoint list."""
+    discovery = FakeDiscovery()
+    async with await asyncio.start_server(discovery.serve, "127.0.0.1", 0) as server:
+        port = free_port()
+        configuration = orjson.loads(config(server.sockets[0].getsockname()[1], port))
+        configuration["settings"]["familyInfo"]["queueCap"] = BACKLOG_CAP_LINES
+        path.write_bytes(orjson.dumps(configuration))
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "plankroute",
+            env={**os.environ, "GW_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        try:
+            controller = ControllerProcess(process, port, discovery)
+            await controller.wait_for_event("listening")
+            yield controller, await discovery.watches.get()
+        finally:
+            process.kill()
+            await process.wait()
+
+
+async def acknowledge_all(client: Client, proxy: int, messages: asyncio.Queue[str]) -> None:
+    """Acknowledges each message that a proxy receives, until cancelled, and passes it on."""
+    while True:
+        message = await client.receive("stamp=")
+        client.send(acknowledgement(proxy, message))
+        messages.put_nowait(message)
+
+
+@pytest.mark.parametrize(
+    "garbled",
+    [
+        "ack node=3 nonce={number}",
+        "ack node=3 latency=1",
+        "ack node=3 nonce=x latency=1",
+        "ack node=3 nonce={number} latency=-1",
+        "ack node=8 nonce={number} latency=1",
+        "ack node=3 nonce=60000 latency=1",
+        "akc node=3 nonce={number} latency=1",
+    ],
+)
+def test_a_quiet_proxy_whose_acknowledgement_was_garbled_is_notified_of_the_next_drain(
+    tmp_path: Path, garbled: str
+) -> None:
+    """Guards against a proxy on a sound stream that counts as cut off and keeps a drained host.
+
+    The session of the silent proxy, which does not answer the same message at all, stalls when the
+    one of the garbling proxy would.
+    """
+
+    async def scenario() -> None:
+        async with (
+            asyncio.timeout(TIMEOUT_S),
+            running_controller(tmp_path / "config.json") as (controller, watch),
+            asyncio.TaskGroup() as tasks,
+        ):
+            garbling = await controller.connect(GARBLING)
+            silent = await controller.connect(SILENT)
+            await controller.drain(watch, 43, "s-1")
+            number = (await garbling.receive("s-1:0")).split("stamp=")[1]
+            await silent.receive("s-1:0")
+            garbling.send(garbled.format(number=number))
+            await controller.wait_for_event("rejected", proxy=GARBLING)
+            silent.send("probe")  # so that it is not silent for longer than the other one
+            messages = asyncio.Queue[str]()
+            answering = tasks.create_task(acknowledge_all(garbling, GARBLING, messages))
+
+            await controller.wait_for_event("session_stalled", proxy=SILENT)
+            assert controller.stalled == [SILENT]
+            await controller.drain(watch, 44, "s-2")
+            while "s-2:0" not in await messages.get():
+                pass
+            answering.cancel()
+
+    asyncio.run(scenario())
--- a/tests/simulator/test_simulator_wire.py
+++ b/tests/simulator/test_simulator_wire.py
@@ -136,9 +136,10 @@
     assert encode_failure(5, "no") == record("4c 0500 0200 6e6f")
 
 
-def test_a_command_without_a_record_raises_type_error() -> None:
+@pytest.mark.parametrize("command", [commands.ForgetHost(7), commands.PingProxy(2)])
+def test_a_command_without_a_record_raises_type_error(command: commands.Command) -> None:
     with pytest.raises(TypeError):
-        encode_command(3, commands.ForgetHost(7))
+        encode_command(3, command)
 
 
 @pytest.mark.parametrize(
--- a/tests/state/test_channel.py
+++ b/tests/state/test_channel.py
@@ -46,3 +46,11 @@
     channel.acknowledge(9, channel.sequence_number)
     channel.advance(21 * SECOND_US)
     assert channel.queued == 400
+
+
+def test_a_message_without_content_costs_its_overhead_once() -> None:
+    channel = channel_with(lines=0, proxies=range(1))
+    assert channel.unacknowledged == 5
+    channel.charge([3], 0, LineKind.OVERHEAD)
+    channel.charge([3], 2, LineKind.SLOT)
+    assert channel.unacknowledged == 5 + 7 and channel.written[LineKind.OVERHEAD] == 10
--- a/tests/support/channel_model.py
+++ b/tests/support/channel_model.py
@@ -73,13 +73,13 @@
         waiting = sum(message.lines_left for message in self._queue)
         self.peak_queued_lines = max(self.peak_queued_lines, waiting)
 
-    def transmit(self, capacity: float) -> list[events.Event]:
+    def transmit(self, capacity: float) -> list[events.Acknowledged]:
         """Removes up to `capacity` lines from the head of the queue.
 
         Returns:
             The acknowledgements of the messages whose last line has left.
         """
-        acknowledged: list[events.Event] = []
+        acknowledged: list[events.Acknowledged] = []
         while self._queue and capacity > 0:
             message = self._queue[0]
             transmitted = min(capacity, message.lines_left)
--- a/tests/support/controller_bench.py
+++ b/tests/support/controller_bench.py
@@ -116,6 +116,7 @@
         events.HostRequestStats(9999, 0, 3, 1, 1.0, 0, None),
         events.HostRequestStats(100, 2, 0, 5, 0.0, 0, None),
         events.Acknowledged(77, 3, 0),
+        events.AcknowledgementRejected(79),
         events.ProxyLeft(78),
         events.TimerExpired(rng.randrange(9)),
         events.PeerMessage(1, b"?"),
--- a/tests/support/controller_model.py
+++ b/tests/support/controller_model.py
@@ -125,6 +125,7 @@
     Attributes:
         facts: The start facts of the controller.
         channel_lines_per_s: Lines that the channel transmits per second; tests change it.
+        garbling_proxies: Proxies whose acknowledgements are rejected; tests change it.
         controller: The controller under test.
         now: The clock, in microseconds.
         hosts: The last list entry of each host, by id.
@@ -147,6 +148,7 @@
         """
         self.facts = facts
         self.channel_lines_per_s = facts.channel_lines_per_s * speed
+        self.garbling_proxies: set[int] = set()
         self.controller = controller or Controller(facts, 7)
         self.now = 100 * SECOND
         self.hosts: dict[int, events.HostEntry] = {}
@@ -191,7 +193,7 @@
             self._timers = [timer for timer in self._timers if timer.due_us > self.now]
             expired = [events.TimerExpired(timer.token) for timer in due]
             acknowledged = self._channel.transmit(self.channel_lines_per_s * step / SECOND)
-            self.deliver(*expired, *acknowledged)
+            self.deliver(*expired, *map(self._as_received, acknowledged))
 
     @property
     def peak_queued_lines(self) -> float:
@@ -212,6 +214,11 @@
 
     # Events
 
+    def _as_received(self, acknowledged: events.Acknowledged) -> events.Event:
+        if acknowledged.proxy in self.garbling_proxies:
+            return events.AcknowledgementRejected(acknowledged.proxy)
+        return acknowledged
+
     def _observe(self, event: events.Event) -> None:
         match event:
             case events.HostList(kind=ListKind.FAILED):
@@ -277,6 +284,9 @@
                 return self._users(command.table), 1
             case commands.BindProxy():
                 return self._bind(command)
+            case commands.PingProxy(proxy):
+                assert proxy in self._zone_of_proxy, "a proxy that is not joined was pinged"
+                return {proxy}, 0
             case commands.RequestAcknowledgement():
                 assert 0 <= command.sequence_number < 65536
             case commands.CheckHealth():
