Do not stall sessions while a slow channel still sends to their proxies

What callers saw: nobody saw it yet.

Cause: the stall timeout is three times the time in which a channel of the stated pace sends a full queue. On a slower one the message is still queued.

Why this works: messages leave the channel in the order in which they were written. While other proxies acknowledge the same batch or earlier ones, the message may still be queued, so the session is not stalled. In a partition the others acknowledge within the usual time, and the stall comes at most that much later; where nobody acknowledges anything, it comes as before.

--- a/plankroute/net/proxies/connection_table.py
+++ b/plankroute/net/proxies/connection_table.py
@@ -138,8 +138,9 @@
 
     def sweep(self) -> None:
         """Rejects unidentified connections past their timeout and checks for stalled sessions."""
-        self.sessions.check_stalled()
-        connected_cutoff = time.monotonic() - IDENTIFICATION_TIMEOUT_S
+        now = time.monotonic()
+        self.sessions.check_stalled(now)
+        connected_cutoff = now - IDENTIFICATION_TIMEOUT_S
         expired = [each for each in self.unidentified if each.connected_at < connected_cutoff]
         for connection in expired:
             self.reject(connection)
--- a/plankroute/net/proxies/listener.py
+++ b/plankroute/net/proxies/listener.py
@@ -178,10 +178,14 @@
         if not connection.identity.is_unidentified():
             self.table.mark_identified(connection)
             connection.allow_long_lines()
-        if isinstance(event, events.ProxyJoined):
-            self.sessions.open(connection, event)
-        elif event is not None:
-            self.submit(event)
+        match event:
+            case events.ProxyJoined():
+                self.sessions.open(connection, event)
+            case events.Acknowledged():
+                self.sessions.progress.record(event.sequence_number, connection.last_received_at)
+                self.submit(event)
+            case _ if event is not None:
+                self.submit(event)
 
     def _answer_liveness_check(self, connection: Connection) -> None:
         connection.outbound.send(ALIVE_LINE)
--- a/plankroute/net/proxies/sessions.py
+++ b/plankroute/net/proxies/sessions.py
@@ -1,23 +1,23 @@
 """Sessions of proxies: maps proxies to connections and tracks which proxies are joined."""
 
-import time
 from collections.abc import Callable
 from dataclasses import replace
 
 from plankroute.events import events
 from plankroute.net.process.telemetry import Telemetry
+from plankroute.net.proxies.channel_progress import ChannelProgress
 from plankroute.net.proxies.connection import Connection
 
 
 class Sessions:
     """The current session of each proxy; a new session replaces the previous one.
 
-    A session is stalled if an acknowledgement is overdue and no data arrives. Its proxy then counts
-    as left until data arrives again. The reason is network partitions, which do not end
-    connections: lines written to stalled sessions would stay in the channel's accounting and leave
-    no capacity for proxies that reconnect. The connection stays open, because a connection closed
-    by the controller counts as a fault of the controller. The cost is that a proxy which is paused
-    for longer than the timeout receives no tables.
+    A session is stalled if an acknowledgement is overdue and no data arrives, although the channel
+    has sent the message. Its proxy then counts as left until data arrives again. The reason is
+    network partitions, which do not end connections: lines written to stalled sessions would stay
+    in the channel's accounting and leave no capacity for proxies that reconnect. The connection
+    stays open, because a connection closed by the controller counts as a fault of the controller.
+    The cost is that a proxy which is paused for longer than the timeout receives no tables.
 
     Args:
         joined: Ids of the joined proxies; updated by this class.
@@ -42,6 +42,7 @@
         self.stall_timeout_s = self.STALL_FACTOR * max_ack_s
         self.by_proxy: dict[int, Connection] = {}
         self.hellos: dict[Connection, events.ProxyJoined] = {}
+        self.progress = ChannelProgress(self.stall_timeout_s)
 
     def open(self, connection: Connection, hello: events.ProxyJoined) -> None:
         """Opens the session of a proxy and replaces its previous one, if any.
@@ -95,12 +96,14 @@
         if hello and connection.identity.unacknowledged:
             self.submit(events.AcknowledgementRejected(hello.proxy))
 
-    def check_stalled(self) -> None:
-        """Reports the proxies of newly stalled sessions as left."""
-        now = time.monotonic()
+    def check_stalled(self, now: float) -> None:
+        """Reports the proxies of newly stalled sessions as left.
+
+        Args:
+            now: The current time on the monotonic clock, in seconds.
+        """
         for proxy, connection in self.by_proxy.items():
-            silence_s = connection.ack_silence_s(now)
-            if proxy in self.joined and silence_s > self.stall_timeout_s:
+            if proxy in self.joined and self._is_stalled(connection, now):
                 self.telemetry.count("sessions.stalled")
                 self.telemetry.log.event(
                     "warning",
@@ -108,10 +111,22 @@
                     proxy=proxy,
                     unacknowledged=len(connection.identity.unacknowledged),
                     awaited=connection.identity.awaited(),
-                    silent_ms=round(1000 * silence_s),
+                    silent_ms=round(1000 * connection.ack_silence_s(now)),
                 )
                 self._report_left(proxy)
 
+    def _is_stalled(self, connection: Connection, now: float) -> bool:
+        """Returns whether an acknowledgement is overdue.
+
+        It is not while other proxies acknowledge the same batch or earlier ones: on a channel that
+        is slower than stated, the message may still be queued there.
+        """
+        awaited = connection.identity.awaited()
+        if awaited is None or connection.ack_silence_s(now) <= self.stall_timeout_s:
+            return False
+        progress_at = self.progress.last_progress_at(awaited)
+        return progress_at is None or now - progress_at > self.stall_timeout_s
+
     def longest_stalled(self) -> Connection | None:
         """Returns the connection of the longest-silent stalled session, or None."""
         stalled = (
--- a/tests/net/test_rejected_acknowledgements.py
+++ b/tests/net/test_quiet_proxies.py
@@ -1,4 +1,7 @@
-"""A controller process beside proxies whose acknowledgements it can't read, or never gets."""
+"""A controller process beside proxies that send nothing but acknowledgements.
+
+These are garbled, late or missing.
+"""
 
 import asyncio
 import os
@@ -10,12 +13,12 @@
 
 import orjson
 import pytest
+from support.faulty_discovery import chunk
 from support.service_harness import HELLO, Client, FakeDiscovery, config, endpoint_list, free_port
 
 GARBLING, SILENT = 3, 4  # proxies
-# The longest normal time of an acknowledgement is then a fifth of a second, and a session stalls
-# after three times that.
-BACKLOG_CAP_LINES = 400
+CHANNEL_LINES_PER_S = 2000
+STALL_FACTOR = 3  # a session stalls after so many times the longest normal time of acknowledgements
 TIMEOUT_S = 20
 
 
@@ -52,11 +55,15 @@
         client.send(acknowledgement(proxy, bound))
         return client
 
-    async def drain(self, watch: asyncio.StreamWriter, revision: int, host: str) -> None:
+    def drain(self, watch: asyncio.StreamWriter, revision: int, host: str) -> None:
         """Lists a host as draining."""
         change = endpoint_list(revision, host, whole=False, state="DRAINING")
         self._discovery.send(watch, orjson.dumps(change) + b"\n")
 
+    def keep_watch_alive(self, watch: asyncio.StreamWriter) -> None:
+        """Sends an empty line, as discovery does each two seconds."""
+        watch.write(chunk(b"\n"))
+
 
 def acknowledgement(proxy: int, message: str) -> str:
     """Returns the line with which a proxy acknowledges a message."""
@@ -65,14 +72,21 @@
 
 @asynccontextmanager
 async def running_controller(
-    path: Path,
+    path: Path, stall_timeout_s: float
 ) -> AsyncIterator[tuple[ControllerProcess, asyncio.StreamWriter]]:
-    """Runs a controller; yields it once it listens, with its watch of the endpoint list."""
+    """Runs a controller; yields it once it listens, with its watch of the endpoint list.
+
+    Args:
+        path: Where its configuration file is written.
+        stall_timeout_s: Time after which a session stalls, to which the backlog cap is set.
+    """
     discovery = FakeDiscovery()
     async with await asyncio.start_server(discovery.serve, "127.0.0.1", 0) as server:
         port = free_port()
         configuration = orjson.loads(config(server.sockets[0].getsockname()[1], port))
-        configuration["settings"]["familyInfo"]["queueCap"] = BACKLOG_CAP_LINES
+        channel = configuration["settings"]["familyInfo"]
+        channel["pushRate"] = CHANNEL_LINES_PER_S
+        channel["queueCap"] = round(CHANNEL_LINES_PER_S * stall_timeout_s / STALL_FACTOR)
         path.write_bytes(orjson.dumps(configuration))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -122,12 +136,12 @@
     async def scenario() -> None:
         async with (
             asyncio.timeout(TIMEOUT_S),
-            running_controller(tmp_path / "config.json") as (controller, watch),
+            running_controller(tmp_path / "config.json", 0.6) as (controller, watch),
             asyncio.TaskGroup() as tasks,
         ):
             garbling = await controller.connect(GARBLING)
             silent = await controller.connect(SILENT)
-            await controller.drain(watch, 43, "s-1")
+            controller.drain(watch, 43, "s-1")
             number = (await garbling.receive("s-1:0")).split("stamp=")[1]
             await silent.receive("s-1:0")
             garbling.send(garbled.format(number=number))
@@ -138,9 +152,39 @@
 
             await controller.wait_for_event("session_stalled", proxy=SILENT)
             assert controller.stalled == [SILENT]
-            await controller.drain(watch, 44, "s-2")
+            controller.drain(watch, 44, "s-2")
             while "s-2:0" not in await messages.get():
                 pass
             answering.cancel()
 
     asyncio.run(scenario())
+
+
+def test_quiet_proxies_do_not_stall_while_a_slow_channel_still_sends_to_them(
+    tmp_path: Path,
+) -> None:
+    """Guards against lines that leave the accounting while the channel has yet to send them.
+
+    The channel sends one message each half second, so that the last two are acknowledged later than
+    a session stalls. Other proxies acknowledge theirs meanwhile.
+    """
+
+    async def scenario() -> None:
+        async with (
+            asyncio.timeout(TIMEOUT_S),
+            running_controller(tmp_path / "config.json", 3.0) as (controller, watch),
+        ):
+            proxies = {proxy: await controller.connect(proxy) for proxy in range(8)}
+            controller.drain(watch, 43, "s-1")
+            messages = {proxy: await proxies[proxy].receive("s-1:0") for proxy in proxies}
+            for proxy, message in messages.items():
+                await asyncio.sleep(0.5)
+                controller.keep_watch_alive(watch)
+                proxies[proxy].send(acknowledgement(proxy, message))
+            controller.drain(watch, 44, "s-2")
+            await controller.wait_for_event("list", revision=44)
+            assert controller.stalled == []
+            for client in proxies.values():
+                await client.receive("s-2:0")
+
+    asyncio.run(scenario())
--- a/tests/net/test_sessions.py
+++ b/tests/net/test_sessions.py
@@ -108,6 +108,43 @@
     run_scenario(scenario)
 
 
+def test_a_session_does_not_stall_while_earlier_messages_are_acknowledged() -> None:
+    """Guards against a slow channel that is taken for a partition."""
+
+    async def scenario(running: RunningService) -> None:
+        first = await running.connect(HELLO)
+        bound = await first.receive("replace=1")
+        second = await running.connect(HELLO.replace("=3", "=4"))
+        await second.receive("replace=1")
+        first.send(f"ack node=3 nonce={bound.split('stamp=')[1]} latency=1")
+        await running.wait_until(lambda: running.counts["received.ack"] == 1)
+        sessions = running.service.listener.sessions
+        stalls_at = sessions.by_proxy[3].last_received_at + sessions.stall_timeout_s - 1e-6
+        assert sessions.by_proxy[4].ack_silence_s(stalls_at) > sessions.stall_timeout_s
+        sessions.check_stalled(stalls_at)
+        assert sessions.joined == {3, 4}
+        sessions.check_stalled(stalls_at + 0.001)
+        assert sessions.joined == {3}
+
+    run_scenario(scenario)
+
+
+def test_a_session_stalls_in_time_although_later_messages_are_acknowledged() -> None:
+    async def scenario(running: RunningService) -> None:
+        first = await running.connect(HELLO)
+        await first.receive("replace=1")
+        second = await running.connect(HELLO.replace("=3", "=4"))
+        bound = await second.receive("replace=1")
+        second.send(f"ack node=4 nonce={bound.split('stamp=')[1]} latency=1")
+        await running.wait_until(lambda: running.counts["received.ack"] == 1)
+        sessions = running.service.listener.sessions
+        stalls_at = sessions.by_proxy[3].awaiting_ack_since + sessions.stall_timeout_s
+        sessions.check_stalled(stalls_at + 0.001)
+        assert sessions.joined == {4}
+
+    run_scenario(scenario)
+
+
 def test_a_rejection_and_a_stall_are_logged_with_the_awaited_sequence_number() -> None:
     async def scenario(running: RunningService) -> None:
         proxy = await running.connect(HELLO)
