--- a/plankroute/net/proxies/channel_progress.py
+++ b/plankroute/net/proxies/channel_progress.py
@@ -8,7 +8,12 @@
 
 @dataclass(slots=True)
 class _Step:
-    """The latest acknowledgement of the newest sequence number acknowledged by then."""
+    """An acknowledgement that showed progress of the channel.
+
+    Attributes:
+        sequence_number: The newest sequence number that any proxy had acknowledged by then.
+        at: When it was last acknowledged before a newer one, in seconds.
+    """
 
     sequence_number: int
     at: float
@@ -24,7 +29,7 @@
     Times are seconds on the monotonic clock.
 
     Args:
-        memory_s: Acknowledgements that arrived longer ago are forgotten, in seconds.
+        memory_s: Time for which acknowledgements are kept, in seconds.
     """
 
     def __init__(self, memory_s: float) -> None:
@@ -52,7 +57,7 @@
 
         Returns:
             The time of the last acknowledgement that arrived for this number or an earlier one,
-            before any later number was acknowledged; None if none is remembered.
+            before any later number was acknowledged; None if none is kept.
         """
         for step in reversed(self._steps):
             if not is_later(step.sequence_number, sequence_number):
--- a/plankroute/net/proxies/listener.py
+++ b/plankroute/net/proxies/listener.py
@@ -171,6 +171,8 @@
         match message:
             case OutcomesMessage(load_report=load_report) if load_report:
                 self.telemetry.count_load_report(load_report)
+            case AckMessage(sequence_number=sequence_number):
+                self.sessions.progress.record(sequence_number, connection.last_received_at)
             case LivenessCheckMessage():
                 self._answer_liveness_check(connection)
             case CollectorMessage():
@@ -178,14 +180,10 @@
         if not connection.identity.is_unidentified():
             self.table.mark_identified(connection)
             connection.allow_long_lines()
-        match event:
-            case events.ProxyJoined():
-                self.sessions.open(connection, event)
-            case events.Acknowledged():
-                self.sessions.progress.record(event.sequence_number, connection.last_received_at)
-                self.submit(event)
-            case _ if event is not None:
-                self.submit(event)
+        if isinstance(event, events.ProxyJoined):
+            self.sessions.open(connection, event)
+        elif event is not None:
+            self.submit(event)
 
     def _answer_liveness_check(self, connection: Connection) -> None:
         connection.outbound.send(ALIVE_LINE)
--- a/plankroute/policy/acknowledgement_retries.py
+++ b/plankroute/policy/acknowledgement_retries.py
@@ -1,9 +1,9 @@
 """Acknowledgement retries: asks proxies again whose acknowledgement could not be read.
 
 A proxy acknowledges each message once. If that acknowledgement is rejected and no later message
-follows, its lines stay in the accounting for good, and its session can't be told from one that a
-network partition has cut off, which counts as left. So the proxy gets a message without changes:
-its acknowledgement covers all earlier messages.
+follows, the lines of the message stay in the accounting, and the session of a quiet proxy looks
+like one that a network partition has cut off. So the proxy gets a message without changes, whose
+acknowledgement covers all earlier messages.
 """
 
 from plankroute.events import commands
@@ -36,8 +36,13 @@
             if now - rejected_at_us[proxy] < self.flow.max_acknowledgement_us:
                 return
             if proxy not in registry.channel.batch:
-                available = self.flow.available_lines(registry, self.flow.allowance)
-                if available < registry.channel.message_overhead:
+                if not self._fits():
                     return
                 registry.command(commands.PingProxy(proxy), [proxy], lines=0)
             rejected_at_us[proxy] = now
+
+    def _fits(self) -> bool:
+        """Whether the channel has capacity for a ping; a small allowance holds one nevertheless."""
+        lines = self.registry.channel.message_overhead
+        max_queued = max(self.flow.allowance, lines)
+        return self.flow.available_lines(self.registry, max_queued) >= lines
--- a/plankroute/state/proxy_registry.py
+++ b/plankroute/state/proxy_registry.py
@@ -68,7 +68,7 @@
         unbound: The unbound proxies.
         returning: Joined proxies that came with older tables. They may keep hosts withdrawn by
             command of another controller.
-        notified: By withdrawn host, the proxies that were told so on their current streams.
+        notified: By withdrawn host, the proxies notified of it on their current streams.
         acknowledgement_rejected_us: When an acknowledgement of a joined proxy was rejected, or the
             proxy was last asked for another one since, in microseconds. Only proxies that have
             acknowledged nothing since then have an entry.
--- a/tests/net/test_quiet_proxies.py
+++ b/tests/net/test_quiet_proxies.py
@@ -23,7 +23,7 @@
 
 
 class ControllerProcess:
-    """A controller in a process of its own, with a fake discovery.
+    """A controller in a separate process, with a fake discovery.
 
     Attributes:
         stalled: Proxies whose sessions stalled, in the order of the log.
--- a/tests/net/test_sessions.py
+++ b/tests/net/test_sessions.py
@@ -39,6 +39,19 @@
     return proxy
 
 
+async def joined_pair(running: RunningService, acknowledging: int) -> dict[int, Client]:
+    """Returns proxies 3 and 4, which joined in this order; one acknowledged its table after that."""
+    clients: dict[int, Client] = {}
+    bound: dict[int, str] = {}
+    for proxy in (3, 4):
+        clients[proxy] = await running.connect(HELLO.replace("=3", f"={proxy}"))
+        bound[proxy] = await clients[proxy].receive("replace=1")
+    sequence_number = bound[acknowledging].split("stamp=")[1]
+    clients[acknowledging].send(f"ack node={acknowledging} nonce={sequence_number} latency=1")
+    await running.wait_until(lambda: running.counts["received.ack"] == 1)
+    return clients
+
+
 def test_a_proxy_with_a_fragmented_hello_joins_is_bound_and_acknowledges() -> None:
     async def scenario(running: RunningService) -> None:
         monitor = await running.connect("probe")
@@ -112,17 +125,12 @@
     """Guards against a slow channel that is taken for a partition."""
 
     async def scenario(running: RunningService) -> None:
-        first = await running.connect(HELLO)
-        bound = await first.receive("replace=1")
-        second = await running.connect(HELLO.replace("=3", "=4"))
-        await second.receive("replace=1")
-        first.send(f"ack node=3 nonce={bound.split('stamp=')[1]} latency=1")
-        await running.wait_until(lambda: running.counts["received.ack"] == 1)
         sessions = running.service.listener.sessions
+        proxies = await joined_pair(running, acknowledging=3)
         stalls_at = sessions.by_proxy[3].last_received_at + sessions.stall_timeout_s - 1e-6
         assert sessions.by_proxy[4].ack_silence_s(stalls_at) > sessions.stall_timeout_s
         sessions.check_stalled(stalls_at)
-        assert sessions.joined == {3, 4}
+        assert sessions.joined == set(proxies)
         sessions.check_stalled(stalls_at + 0.001)
         assert sessions.joined == {3}
 
@@ -131,16 +139,11 @@
 
 def test_a_session_stalls_in_time_although_later_messages_are_acknowledged() -> None:
     async def scenario(running: RunningService) -> None:
-        first = await running.connect(HELLO)
-        await first.receive("replace=1")
-        second = await running.connect(HELLO.replace("=3", "=4"))
-        bound = await second.receive("replace=1")
-        second.send(f"ack node=4 nonce={bound.split('stamp=')[1]} latency=1")
-        await running.wait_until(lambda: running.counts["received.ack"] == 1)
         sessions = running.service.listener.sessions
+        proxies = await joined_pair(running, acknowledging=4)
         stalls_at = sessions.by_proxy[3].awaiting_ack_since + sessions.stall_timeout_s
         sessions.check_stalled(stalls_at + 0.001)
-        assert sessions.joined == {4}
+        assert sessions.joined == set(proxies) - {3}
 
     run_scenario(scenario)
 
