--- a/tests/net/test_sessions.py
+++ b/tests/net/test_sessions.py
@@ -40,7 +40,7 @@
 
 
 async def joined_pair(running: RunningService, acknowledging: int) -> dict[int, Client]:
-    """Returns proxies 3 and 4, which joined in this order; one acknowledged its table after that."""
+    """Returns proxies 3 and 4, which joined in this order; then one acknowledged its table."""
     clients: dict[int, Client] = {}
     bound: dict[int, str] = {}
     for proxy in (3, 4):
