--- a/tests/net/test_quiet_proxies.py
+++ b/tests/net/test_quiet_proxies.py
@@ -16,9 +16,10 @@
 from support.faulty_discovery import chunk
 from support.service_harness import HELLO, Client, FakeDiscovery, config, endpoint_list, free_port
 
+from plankroute.net.proxies.sessions import Sessions
+
 GARBLING, SILENT = 3, 4  # proxies
 CHANNEL_LINES_PER_S = 2000
-STALL_FACTOR = 3  # a session stalls after so many times the longest normal time of acknowledgements
 TIMEOUT_S = 20
 
 
@@ -86,7 +87,7 @@
         configuration = orjson.loads(config(server.sockets[0].getsockname()[1], port))
         channel = configuration["settings"]["familyInfo"]
         channel["pushRate"] = CHANNEL_LINES_PER_S
-        channel["queueCap"] = round(CHANNEL_LINES_PER_S * stall_timeout_s / STALL_FACTOR)
+        channel["queueCap"] = round(CHANNEL_LINES_PER_S * stall_timeout_s / Sessions.STALL_FACTOR)
         path.write_bytes(orjson.dumps(configuration))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
--- a/tests/policy/test_acknowledgement_retries.py
+++ b/tests/policy/test_acknowledgement_retries.py
@@ -84,3 +84,12 @@
     bench.pass_time(20 * SECOND)
     assert publisher.channel.unacknowledged == unacknowledged < bench.facts.backlog_cap_lines
     assert commands.SetRoute(0, 100, 0.0) in bench.deliver(host_changes(entry(100, DRAINING)))
+
+
+def test_a_ping_is_written_even_if_the_allowance_is_smaller() -> None:
+    """Guards against a site whose drain grace is no longer than its delay, where none would fit."""
+    bench = quiet_bench(drain_grace_us=SECOND // 2)
+    assert bench.controller.publisher.flow.allowance == 0
+    bench.deliver(events.AcknowledgementRejected(1))
+    bench.pass_time(MAX_ACKNOWLEDGEMENT_US + SECOND // 2)
+    assert pinged(bench) == [1]
