--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -18,7 +18,7 @@
 import tomllib
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
+from contextlib import ExitStack, suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
@@ -42,13 +42,28 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port() -> int:
-    """Returns a port of the loopback address that nobody listens on."""
+def free_port(address: str = LOOPBACK) -> int:
+    """Returns a port of a loopback address that nobody listens on."""
     with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
+        probe.bind((address, 0))
         return int(probe.getsockname()[1])
 
 
+def common_port(addresses: list[str], kind: socket.SocketKind) -> int:
+    """Returns a port that is free at all of these loopback addresses."""
+    for _ in range(200):
+        port = random.randrange(20000, 32000)
+        with ExitStack() as stack:
+            try:
+                for address in addresses:
+                    probe = stack.enter_context(socket.socket(socket.AF_INET, kind))
+                    probe.bind((address, port))
+            except OSError:
+                continue
+            return port
+    raise CaseNotRunError("no port is free")
+
+
 class CaseNotRunError(Exception):
     """The case could not run, which says nothing of the rule."""
 
@@ -382,7 +397,7 @@
 
     async def join(self, steward: "Steward") -> None:
         """Opens a stream, and follows its orders until it ends."""
-        reader, writer = await asyncio.open_connection(LOOPBACK, steward.port, limit=1 << 21)
+        reader, writer = await asyncio.open_connection(steward.address, steward.port, limit=1 << 21)
         cold = int(self.is_cold)
         hello = f"hello node={self.number} locality={self.zone} w=9.0 cold={cold}"
         writer.write(hello.encode() + b"\r\n")
@@ -479,19 +494,20 @@
         self.fleet = fleet
         self.name = name
         self.rank = rank
-        self.port = free_port()
+        self.address = f"127.0.0.{rank + 2}"
+        self.port = free_port(self.address)
         self.agent = Agent(name, fleet.hosts, fleet.record)
         self.channel = Channel(fleet.site.lines_per_s, fleet.site.way_s)
         self.process: asyncio.subprocess.Process | None = None
         self.ready_at = 0.0
-        self.environment: dict[str, str] = {}
+        self.features: Json = {}  # the feature file; empty: none
 
     async def start(self, known: Json | None = None) -> None:
         """Starts the process with its last list, and waits until it answers `probe`."""
         path = self.fleet.folder / f"{self.name}.json"
         config = {
             "name": self.name,
-            "listen": f"{LOOPBACK}:{self.port}",
+            "listen": f"{self.address}:{self.port}",
             "discovery": self.agent.address,
             "seed": f"{random.getrandbits(63):016x}",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
@@ -499,6 +515,9 @@
             "settings": self.fleet.settings(self.rank),
         }
         path.write_text(json.dumps(config), encoding="utf-8")
+        feature_path = self.fleet.folder / f"{self.name}.features.json"
+        environment = {"PLANKROUTE_FILE": str(feature_path)} if self.features else {}
+        feature_path.write_text(json.dumps(self.features), encoding="utf-8")
         deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text(encoding="utf-8"))
         log = (self.fleet.folder / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
@@ -517,7 +536,7 @@
                 "GW_LISTEN": config["listen"],
                 "GW_DISCOVERY": config["discovery"],
                 "GW_CONFIG": str(path),
-                **self.environment,
+                **environment,
             },
         )
         log.close()
@@ -535,7 +554,7 @@
         writer: asyncio.StreamWriter | None = None
         try:
             async with asyncio.timeout(wait_s):
-                reader, writer = await asyncio.open_connection(LOOPBACK, self.port)
+                reader, writer = await asyncio.open_connection(self.address, self.port)
                 writer.write(b"probe\r\n")
                 return (await reader.readline()).strip() == b"alive"
         except (OSError, TimeoutError):
@@ -574,6 +593,8 @@
         way_s: How long a message takes from the channel to its proxy.
         way_most_s: The longest such time that the settings state.
         probe_reports: Whether load reports come from probes alone.
+        may_tell: Whether stewards may talk to each other.
+        more: Further facts of the kind of service.
     """
 
     zones: tuple[str, ...]
@@ -593,6 +614,7 @@
     standing: int
     throttle_by: str = "silent"
     probe_reports: bool = False
+    may_tell: bool = False
     more: Json = field(default_factory=dict)
 
 
@@ -634,6 +656,26 @@
 )
 
 
+GRAZ = Site(
+    zones=("fluegel-ost", "fluegel-west", "fluegel-hof"),
+    classes={"konto-verlauf": False, "saldo-check": False},
+    effects={"konto-verlauf": "retryable", "saldo-check": "retryable"},
+    lines_per_s=2600.0,
+    backlog=5200,
+    head=10,
+    way_s=0.15,
+    way_most_s=0.33,
+    drain_grace_s=1.5,
+    bare_s=1.6,
+    cold_s=8.0,
+    start_capacity=0.19,
+    fall_multiple=3.0,
+    fall_s=2.0,
+    standing=5,
+    may_tell=True,
+)
+
+
 class Fleet:
     """A small deployment: its hosts, proxies, collectors and stewards.
 
@@ -670,7 +712,7 @@
                 "cpuUsPerS": 600000,
                 "dialTimeoutMs": 300.0,
                 "mayProbe": True,
-                "mayTell": False,
+                "mayTell": site.may_tell,
                 "streamsPerConn": 32,
             },
             "classes": [
@@ -752,8 +794,37 @@
         task.add_done_callback(self.tasks.discard)
         return task
 
-    async def open(self, stewards: int) -> None:
-        """Opens hosts and discovery, and starts the stewards."""
+    def use_links(self, cold_start: Json, learned: Json | None = None) -> None:
+        """Lets the stewards know each other, and switches on links between them.
+
+        Args:
+            cold_start: Fields of the section `links` of the feature file.
+            learned: The section `learned`, if that is to be on.
+        """
+        addresses = [steward.address for steward in self.stewards]
+        group_port = common_port(addresses, socket.SOCK_DGRAM)
+        link_port = common_port(addresses, socket.SOCK_STREAM)
+        for steward in self.stewards:
+            steward.features = {
+                "membership": {
+                    "group": "case",
+                    "listen": f"{steward.address}:{group_port}",
+                    "seeds": [f"{address}:{group_port}" for address in addresses],
+                },
+                "coldstart": {
+                    "links": {"listen": f"{steward.address}:{link_port}", **cold_start},
+                },
+            }
+            if learned is not None:
+                steward.features["learned"] = learned
+
+    async def open(self, stewards: int, prepare: "Callable[[Fleet], None] | None" = None) -> None:
+        """Opens hosts and discovery, and starts the stewards.
+
+        Args:
+            stewards: Number of stewards.
+            prepare: Called before the stewards start, for their feature files.
+        """
         for host in self.hosts:
             await host.open()
         for rank in range(stewards):
@@ -763,6 +834,8 @@
         for host in self.hosts:
             for steward in self.stewards:
                 steward.agent.entries[host.uid] = host.entry()
+        if prepare:
+            prepare(self)
         for steward in self.stewards:
             await steward.start()
         for steward in self.stewards:
@@ -797,7 +870,7 @@
         while True:
             writer: asyncio.StreamWriter | None = None
             try:
-                _, writer = await asyncio.open_connection(LOOPBACK, steward.port)
+                _, writer = await asyncio.open_connection(steward.address, steward.port)
                 writer.write(f"agent locality={zone}\r\n".encode())
                 self.collectors[steward.name, zone] = writer
                 while not writer.is_closing():
@@ -940,6 +1013,7 @@
     hosts_per_zone: int = 5,
     proxies: int = 9,
     stewards: int = 1,
+    prepare: Callable[[Fleet], None] | None = None,
 ) -> int:
     """Plays a case.
 
@@ -950,6 +1024,7 @@
         hosts_per_zone: Hosts in each zone.
         proxies: Number of proxies.
         stewards: Number of stewards.
+        prepare: Called before the stewards start, for their feature files.
 
     Returns:
         The exit status of the case.
@@ -958,7 +1033,7 @@
     fleet = Fleet(site, record, hosts_per_zone, proxies)
     try:
         async with asyncio.timeout(RUN_LIMIT_S):
-            await fleet.open(stewards)
+            await fleet.open(stewards, prepare)
             breaks = await play(fleet)
     except (CaseNotRunError, TimeoutError, OSError, AssertionError) as error:
         record.write(f"not run: {type(error).__name__}: {error}")
@@ -981,11 +1056,14 @@
     hosts_per_zone: int = 5,
     proxies: int = 9,
     stewards: int = 1,
+    prepare: Callable[[Fleet], None] | None = None,
 ) -> None:
     """Plays a case and ends this process with its exit status."""
     logging.getLogger("asyncio").setLevel(logging.CRITICAL)  # writes to peers that are gone
     try:
-        status = asyncio.run(run_case(site, play, folder, hosts_per_zone, proxies, stewards))
+        status = asyncio.run(
+            run_case(site, play, folder, hosts_per_zone, proxies, stewards, prepare)
+        )
     except Exception as error:
         print(f"not run: {type(error).__name__}: {error}")
         status = NOT_RUN
