review: case 8, a steward that follows another one asks its own discovery too late

With coldstart.links and one watcher, discovery falls silent at the watcher's machine only. The follower does not ask its own discovery, which answers, before some 13 s; its proxies send to a draining host until 11 s after the change, against 6 s until it counts as told and a limit of 1.8 s. The constants STALE_CONTACT_US (10 s) and INDEPENDENT_AFTER_US (3 s) add up.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -79,6 +79,10 @@
         """Returns the seconds since the start."""
         return time.monotonic() - self.start
 
+    def unix_ms(self) -> int:
+        """Returns the time as Unix time in milliseconds, as `boot_ms` has it."""
+        return int(1000 * time.time())
+
     def write(self, text: str) -> None:
         """Writes one line."""
         self.file.write(f"{self.now():9.3f}  {text[:600]}\n")
@@ -843,6 +847,11 @@
                 self.run_task(self.collect(steward, zone))
         self.run_task(self.work())
 
+    def add(self, host: Host) -> None:
+        """Adds a host, which is not listed yet."""
+        self.hosts.append(host)
+        self.by_uid[host.uid] = host
+
     def change(self, hosts: list[Host]) -> dict[str, int]:
         """Publishes entries to all agents; returns the revision at each."""
         return {steward.name: steward.agent.change(hosts) for steward in self.stewards}
