review: case 10, drains that a running steward reported are undone after a minute

Two stewards with links and learned switched on; three of 15 hosts are taken away while one steward restarts and its discovery is silent for 78 s. It takes over the three drains from the running steward; 60 s later they expire and it writes to its proxies to let the hosts back, which are gone. The stand-ins' collectors now report for each steward apart, and a signal that ends a case ends its processes.

--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -713,7 +713,7 @@
         ]
         self.stewards: list[Steward] = []
         self.sent: list[Sent] = []
-        self.met: Counter[tuple[str, str, bool]] = Counter()
+        self.met: Counter[tuple[str, str, str, bool]] = Counter()
         self.collectors: dict[tuple[str, str], asyncio.StreamWriter] = {}
         self.tasks: set[asyncio.Task[None]] = set()
 
@@ -871,7 +871,8 @@
         self.sent.append(Sent(self.record.now(), proxy.number, name, uid))
         host = self.by_uid[uid]
         assert proxy.steward
-        self.met[proxy.zone, uid, host.is_up and host.state == "SERVING"] += 1
+        is_served = host.is_up and host.state == "SERVING"
+        self.met[proxy.steward.name, proxy.zone, uid, is_served] += 1
 
     async def work(self) -> None:
         """Lets the proxies send five requests of each class a second, and report demand."""
@@ -904,13 +905,10 @@
             await asyncio.sleep(0.3)
 
     def report(self, steward: Steward, zone: str, writer: asyncio.StreamWriter) -> None:
-        """Writes what the proxies of a zone met since the last report."""
-        joined_here = [p for p in self.proxies if p.steward is steward and p.zone == zone]
-        if not joined_here:
-            return
+        """Writes what the steward's proxies of a zone met since the last report."""
         for uid in self.by_uid:
-            good = self.met.pop((zone, uid, True), 0)
-            bad = self.met.pop((zone, uid, False), 0)
+            good = self.met.pop((steward.name, zone, uid, True), 0)
+            bad = self.met.pop((steward.name, zone, uid, False), 0)
             if not good + bad:
                 continue
             words = f"outcomes locality={zone} endpoint={uid} total={good + bad} errors={bad}"
@@ -1050,6 +1048,10 @@
     """
     record = Record(folder / "record.txt")
     fleet = Fleet(site, record, hosts_per_zone, proxies)
+    this = asyncio.current_task()
+    assert this
+    for number in (signal.SIGTERM, signal.SIGINT):  # the processes are ended then, too
+        asyncio.get_running_loop().add_signal_handler(number, this.cancel)
     try:
         async with asyncio.timeout(RUN_LIMIT_S):
             await fleet.open(stewards, prepare)
