--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -19,7 +19,7 @@
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable
 from contextlib import ExitStack, suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 from typing import Any
 
@@ -459,6 +459,10 @@
             uid: weight for uid, weight in self.tables[name].items() if uid not in self.shut_out
         }
 
+    def has_line(self, name: str) -> bool:
+        """Returns whether there is a line of a class from which the proxy may pick."""
+        return any(uid not in self.shut_out for uid in self.tables[name])
+
     def send_requests(self) -> None:
         """Sends one request of each class to a host picked by weight, while it is joined."""
         for name in self.tables:
@@ -598,6 +602,7 @@
         way_most_s: The longest such time that the settings state.
         probe_reports: Whether load reports come from probes alone.
         may_tell: Whether stewards may talk to each other.
+        instances: Number of stewards that the settings state; 0: those that run.
         more: Further facts of the kind of service.
     """
 
@@ -619,6 +624,7 @@
     throttle_by: str = "silent"
     probe_reports: bool = False
     may_tell: bool = False
+    instances: int = 0
     more: Json = field(default_factory=dict)
 
 
@@ -660,6 +666,10 @@
 )
 
 
+# The grown deployment, at the size that kit/next/2 gives for today.
+SALZBURG_LATER = replace(
+    SALZBURG, lines_per_s=1900.0, backlog=3800, way_s=0.4, way_most_s=1.0, instances=2
+)
 GRAZ = Site(
     zones=("fluegel-ost", "fluegel-west", "fluegel-hof"),
     classes={"konto-verlauf": False, "saldo-check": False},
@@ -766,7 +776,7 @@
                 "warmKeys": False,
                 **site.more,
             },
-            "instances": len(self.stewards),
+            "instances": site.instances or len(self.stewards),
             "kindOfService": "control",
             "machineTypes": ["m1"],
             "objectiveMix": {"whole": 0.7, "worstClass": 0.1, "worstWindow": 0.2},
@@ -981,7 +991,7 @@
         """Looks at one class of one proxy."""
         key = (proxy.number, name)
         steward = proxy.steward
-        if proxy.joined_at is None or steward is None or proxy.usable(name):
+        if proxy.joined_at is None or steward is None or proxy.has_line(name):
             self.since.pop(key, None)
             return
         warm = self.warm_hosts(steward, proxy, name)
