--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,7 @@
 
 HALL = "halle-nord"
 HOSTS_PER_HALL = 10
-PROXIES = 100
+PROXIES = 60  # of 106, dealt by chance to two stewards
 SETTLE_S = 25.0  # until all proxies are bound and the first weights have been learned
 LOST_S = 5.0
 
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -666,9 +666,15 @@
 )
 
 
-# The grown deployment, at the size that kit/next/2 gives for today.
+# The grown deployment, at the size that kit/next/2 gives for today: 106 proxies at two stewards.
 SALZBURG_LATER = replace(
-    SALZBURG, lines_per_s=1900.0, backlog=3800, way_s=0.4, way_most_s=1.0, instances=2
+    SALZBURG,
+    lines_per_s=1900.0,
+    backlog=3800,
+    way_s=0.5,
+    way_most_s=1.25,
+    instances=2,
+    more={"proxies": 106},
 )
 GRAZ = Site(
     zones=("fluegel-ost", "fluegel-west", "fluegel-hof"),
