Log hosts that are ready again and still withdrawn, while there are any

Change: field pending_reinstatements of the event publishing, which is logged once a second while there are any.

--- a/plankroute/net/process/publishing_log.py
+++ b/plankroute/net/process/publishing_log.py
@@ -1,4 +1,4 @@
-"""Logs once a second how many proxies wait for tables and which lines fill the channel."""
+"""Logs once a second what waits to be published, and which lines fill the channel."""
 
 from collections import Counter
 from collections.abc import Callable
@@ -11,7 +11,9 @@
 
 
 class PublishingLog:
-    """Logs while proxies wait or withdrawals are pending, and once more after that has ended.
+    """Logs while proxies or hosts wait, and once more after that has ended.
+
+    Hosts wait to be withdrawn, or to be reinstated.
 
     Counters are updated once per interval in any case.
     """
@@ -34,7 +36,10 @@
         self._last_read_us = now_us
         status = read_status()
         is_waiting = bool(
-            status.waiting_proxies or status.interim_proxies or status.pending_withdrawals
+            status.waiting_proxies
+            or status.interim_proxies
+            or status.pending_withdrawals
+            or status.pending_reinstatements
         )
         if is_waiting or self._was_waiting:
             self._log(status)
@@ -59,6 +64,7 @@
             longest_wait_ms=status.longest_wait_us // 1000,
             overdue=status.overdue_proxies,
             pending_withdrawals=status.pending_withdrawals,
+            pending_reinstatements=status.pending_reinstatements,
             queued_lines=status.queued_lines,
             unacknowledged_lines=status.unacknowledged_lines,
             **written,
--- a/plankroute/policy/drains.py
+++ b/plankroute/policy/drains.py
@@ -91,6 +91,11 @@
             self._unnotified_since_us = None
             self._last_sweep_us = now
 
+    def pending_reinstatements(self) -> set[int]:
+        """Returns the withdrawn hosts that are listed ready again."""
+        state = self.host_table.state
+        return {host for host in self.withdrawn if state[host] is HostState.READY}
+
     def reinstate(self) -> None:
         """Reinstates withdrawn hosts that are ready again, once no table holds them.
 
@@ -99,12 +104,11 @@
         """
         registry = self.registry
         host_table = self.host_table
-        for host in sorted(self.withdrawn):
+        for host in sorted(self.pending_reinstatements()):
             lines = len(registry.unbound) * (registry.channel.message_overhead + 1)
             fits = lines <= self.flow.available_lines(registry, self.flow.allowance)
-            is_ready = host_table.state[host] is HostState.READY
             is_safe = host_table.weight_cap[host] == NO_CAP or not registry.unbound
-            if fits and is_ready and is_safe and not registry.tables_with(host):
+            if fits and is_safe and not registry.tables_with(host):
                 self.withdrawn.discard(host)
                 registry.notified.pop(host, None)
                 command = commands.WithdrawHost(host_table.host_ids[host], False)
--- a/plankroute/policy/publisher.py
+++ b/plankroute/policy/publisher.py
@@ -93,6 +93,7 @@
             longest_wait_us=max(waits_us, default=0),
             overdue_proxies=sum(wait_us > self.flow.grace_slack_us for wait_us in waits_us),
             pending_withdrawals=len(self.drains.pending),
+            pending_reinstatements=len(self.drains.pending_reinstatements()),
             queued_lines=round(self.channel.queued),
             unacknowledged_lines=self.channel.unacknowledged,
             written_lines=self.channel.written.copy(),
--- a/plankroute/state/publishing_status.py
+++ b/plankroute/state/publishing_status.py
@@ -28,6 +28,7 @@
             which is the drain grace less the longest one-way delay. Their tables may still hold
             hosts that they must no longer use.
         pending_withdrawals: Number of hosts whose withdrawal is still to be written.
+        pending_reinstatements: Number of hosts that are listed ready again and still withdrawn.
         queued_lines: Estimated lines that have not left the channel.
         unacknowledged_lines: Lines written and not acknowledged.
         written_lines: Lines written so far, by kind.
@@ -39,6 +40,7 @@
     longest_wait_us: int
     overdue_proxies: int
     pending_withdrawals: int
+    pending_reinstatements: int
     queued_lines: int
     unacknowledged_lines: int
     written_lines: Counter[LineKind]
