Reinstate hosts of a lost zone that returned, where its proxies have no other host

Cause: a withdrawn host is reinstated once no table holds it. In the table of the other classes, which keeps warm hosts, the removal of its slots is deferrable, and ten deferrable changes are written only if the message can hold as many lines as its overhead. The allowance is 570 lines, the overhead at 60 proxies 300; 270 are never enough.

Evidence: the field pending_reinstatements stood at 10 for 17 s with nothing queued and nothing written. In the model the zone is served three seconds after its return with 57 proxies (285 lines of 285) and never with 58.

Change: a withdrawn host that is ready again and may serve a table without a warm host loses its slots in all tables at once; then it is reinstated and enters the table that needs it, which was urgent before. Why it works: the circle is cut where rule 1 needs it, at any number of proxies, and nothing changes while each table keeps a warm host.

--- a/plankroute/policy/slot_changes.py
+++ b/plankroute/policy/slot_changes.py
@@ -106,13 +106,20 @@
         host_table = self.host_table
         class_count = sum(len(table.request_classes) for table in self.tables)
         latency_factor = self._latency_factor()
+        targets = self.target.current()
+        lacks_warm_host = [
+            not self._keeps_warm_host(table, slots)
+            for table, slots in zip(self.tables, targets, strict=True)
+        ]
+        needed = self._needed_hosts(lacks_warm_host)
         changes: list[Change] = []
-        for table, slots in zip(self.tables, self.target.current(), strict=True):
+        for table, slots, has_no_warm_host in zip(
+            self.tables, targets, lacks_warm_host, strict=True
+        ):
             # Share of all requests that one slot moves.
             slot_share = len(table.request_classes) / class_count / max(1, sum(slots.values()))
             min_change = self.flow.line_price / (slot_share * SLOTS_PER_HOST)
             host_table.min_slot_change = max(host_table.min_slot_change, min_change)
-            has_no_warm_host = not self._keeps_warm_host(table, slots)
             for host in slots.keys() | table.published.keys():
                 count = slots.get(host, 0)
                 if count == table.published.get(host, 0) or host in self.drains.pending:
@@ -122,7 +129,7 @@
                 if host in self.drains.withdrawn:
                     is_back = host_table.state[host] is HostState.READY
                     gain = gain if is_back else self._gain_of_withdrawn(host, now)
-                    is_urgent = has_no_warm_host and is_back
+                    is_urgent = host in needed
                 changes.append(Change(gain, is_urgent, table, host, count))
         return changes
 
@@ -141,6 +148,24 @@
             host in slots and self.host_table.weight_cap[host] == NO_CAP for host in table.published
         )
 
+    def _needed_hosts(self, lacks_warm_host: list[bool]) -> set[int]:
+        """Returns the withdrawn hosts, ready again, that a table without a warm host may hold.
+
+        A host is reinstated once no table holds it. Slots that it has in other tables would keep it
+        from the proxies that have no host, so their removal is urgent too.
+
+        Args:
+            lacks_warm_host: By table, whether no warm host stays in it.
+        """
+        lacking = [
+            table for table, lacks in zip(self.tables, lacks_warm_host, strict=True) if lacks
+        ]
+        return {
+            host
+            for host in self.drains.pending_reinstatements()
+            if any(table.may_hold(self.host_table, host) for table in lacking)
+        }
+
     def _is_urgent(self, table: RoutingTable, host: int, count: int) -> bool:
         """Whether a host leaves other than by the subset, or is warming and loses many slots."""
         published = table.published.get(host, 0)
