Bound the fields of a line, so that one line does not exceed the memory limit

What callers saw: a controller with a limit of 64 MB reached 128 MB, one with 192 MB 220 MB, while joined proxies sent lines of 1 MiB with some 262,000 short fields each; over its limit a controller is killed.

Cause: all fields became strings before any was looked at, and the expression that tells an unknown kind of message from broken framing kept a position for each field to return to.

Evidence: tracemalloc shows 66.6 MB in parse_line for one line of an unknown kind, 19 to 22 MB for known kinds and 3 MB for one long field.

Change: a line is split up to 64 fields (no message defines more than eight) and rejected if it has more; a load report is read up to 64 fields.

--- a/plankroute/net/proxies/line_codec.py
+++ b/plankroute/net/proxies/line_codec.py
@@ -1,7 +1,7 @@
 """Codec of the line protocol that proxies, collectors and monitors speak with the controller."""
 
 import re
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterator
 
 from plankroute.controller.messages import Message, TableUpdate
 from plankroute.events.events import LoadReport
@@ -26,12 +26,15 @@
 MAX_MILLISECONDS = 86_400_000.0  # one day; longer durations are invalid
 MAX_LOAD_FIGURE = 1e6  # values of a load report; no host holds a million requests
 MAX_DIGITS = 10  # of a count; MAX_COUNT has as many
+# Fields of a line, and of a load report: no message defines more than eight. A line of maximum
+# length may hold a quarter of a million, whose strings take many times its memory.
+MAX_FIELDS = 64
 # Possessive quantifiers, and no two of them for the same digits: text that is not a number is
 # rejected in linear time.
 NUMBER = re.compile(r"(?:[0-9]++(?:\.[0-9]++)?|\.[0-9]++)(?:[eE][+-]?[0-9]{1,3})?")
 # An unknown message kind in this form most likely comes from another protocol version. It does not
-# break the framing.
-WELL_FORMED_LINE = re.compile(r"[a-z]+(?: [a-z]+=[^ =]*)*")
+# break the framing. Possessive quantifiers save the memory of positions to backtrack to.
+WELL_FORMED_LINE = re.compile(r"[a-z]++(?: [a-z]++=[^ =]*+)*+")
 # The start of a message; found in the middle of a line, it shows that two lines were merged.
 MERGED_LINES = re.compile(r"(?:agent|outcomes|hello|ack|demand) [a-z]+=")
 # Hosts name the fields of a load report as in the settings or as in the protocol. Both forms are
@@ -59,6 +62,8 @@
     """
 
     def __init__(self, words: list[str]) -> None:
+        if len(words) > MAX_FIELDS:
+            raise FieldError("too many fields")
         self.values: dict[str, str] = {}
         for word in words:
             name, equals, value = word.partition("=")
@@ -103,7 +108,7 @@
         """Returns a load report, or None if the line has none."""
         if name not in self.values:
             return None
-        return _load_report_from(pair.partition(":") for pair in self.values[name].split(","))
+        return _load_report_from(self.values[name], ":")
 
 
 def _parse_liveness_check(_: Fields) -> LivenessCheckMessage:
@@ -177,7 +182,7 @@
         text = line[:-1].decode("ascii")
     except UnicodeDecodeError:
         return Rejection(RejectionStage.PARSING, "line is not ASCII", breaks_framing=True)
-    kind, *words = text.split(" ")
+    kind, *words = text.split(" ", MAX_FIELDS + 1)
     parse = PARSERS.get(kind)
     if parse is None:
         is_broken = WELL_FORMED_LINE.fullmatch(text) is None
@@ -277,11 +282,18 @@
     format_name, _, fields = body.decode("ascii", "replace").strip().partition(" ")
     if format_name != "TEXT":
         return None
-    return _load_report_from(pair.strip().partition("=") for pair in fields.split(","))
+    return _load_report_from(fields, "=")
 
 
-def _load_report_from(pairs: Iterable[tuple[str, str, str]]) -> LoadReport:
-    """Builds a load report, leaving out fields that are unknown, malformed or out of range."""
+def _load_report_from(text: str, separator: str) -> LoadReport:
+    """Parses a load report, leaving out fields that are unknown, malformed or out of range.
+
+    Args:
+        text: Fields separated by commas; those beyond `MAX_FIELDS` are left out.
+        separator: What separates the name of a field from its value.
+    """
+    fields = text.split(",", MAX_FIELDS)[:MAX_FIELDS]
+    pairs = (field.strip().partition(separator) for field in fields)
     return load_report(
         (REPORT_FIELDS[name], float(value))
         for name, _, value in pairs
