Let other connections have their turn after 32 lines of one

What callers saw: while one collector sent lines of three bytes at full speed, other peers got their answers 169 ms late (median of 3 s), 319 ms at most; with 217 such proxies a liveness check had no answer within 20 s.

Cause: the task of a connection handled all lines of a read, and read again while the reader's buffer held more, before any other task ran.

Evidence: between a liveness check and its answer 32,763 lines of three bytes of another peer were handled, 1,700 outcomes; the delay is proportional to that number. Memory did not grow.

Change: after 32 lines the task lets the others run.

--- a/plankroute/net/proxies/listener.py
+++ b/plankroute/net/proxies/listener.py
@@ -27,6 +27,8 @@
 from plankroute.net.proxies.sessions import Sessions
 
 READ_BYTES = 16384  # the lines that a collector sends in a second
+# Lines of one connection that are handled before those of others have their turn.
+MAX_LINES_PER_TURN = 32
 # Kernel receive buffer of one connection. It bounds what hundreds of connections can hold together.
 RECEIVE_BUFFER_BYTES = 65536
 LISTEN_BACKLOG = 512  # hundreds of connections may arrive at once
@@ -107,7 +109,7 @@
         try:
             while data := await reader.read(READ_BYTES):
                 self.telemetry.count("received.bytes", len(data))
-                self._handle_data(connection, data)
+                await self._handle_data(connection, data)
         except OSError as error:
             reason = str(error)
         except asyncio.CancelledError:
@@ -121,14 +123,16 @@
             write_task.cancel()
             self._clean_up(connection, reason)
 
-    def _handle_data(self, connection: Connection, data: bytes) -> None:
+    async def _handle_data(self, connection: Connection, data: bytes) -> None:
         """Handles received lines; ignores the rest once the connection is closing or replaced."""
         connection.last_received_at = time.monotonic()
         self.sessions.resume(connection)
-        for line in connection.line_reader.feed(data):
+        for number, line in enumerate(connection.line_reader.feed(data), 1):
             if connection.is_closing():
                 return
             self._handle_line(connection, line)
+            if number % MAX_LINES_PER_TURN == 0:
+                await asyncio.sleep(0)
 
     def _handle_line(self, connection: Connection, line: bytes | Rejection) -> None:
         message = line if isinstance(line, Rejection) else parse_line(line)
