Read 8 KiB of a connection at a time, and set its memory aside

What callers saw: with the fields bounded, load reports of 1 MiB still took a controller to 65,548 KiB of 65,536 (64 MB), and half lines at all connections to 63,176 KiB and, at 192 MB, 163,348 of 196,608 KiB.

Cause: asyncio reads up to 256 KiB of each connection before its task runs, here 64 KiB by the kernel's buffer. For 900 connections that is 58 MB, and the division of the memory limit did not count it.

Evidence: of 163 MB, 34 are process and connections and 69 the line buffers' share; the rest is about 60 MB.

Change: BoundedReadProtocol reads 8 KiB at a time into a shared buffer, and reading pauses at 8 KiB unprocessed, so a connection holds 24 KiB at most; resource_limits_for sets aside 36 KiB for each before it divides the rest, and 28 MB for the process (20 before; it is resident with 25).

--- a/plankroute/net/process/resource_limits.py
+++ b/plankroute/net/process/resource_limits.py
@@ -3,8 +3,11 @@
 from dataclasses import dataclass
 
 # Memory of the interpreter, the program and its tables.
-PROCESS_MB = 20
-# Shares of the memory above PROCESS_MB; parsing a list takes ten times its size.
+PROCESS_MB = 28
+# Memory of a connection without its buffers: 24 KiB that were read and not processed yet, and its
+# task and objects.
+CONNECTION_BYTES = 36 << 10
+# Shares of the memory that is left; parsing a list takes ten times its size.
 BUFFERS_SHARE = 0.4
 LIST_SHARE = 0.05
 MIN_BUFFER_BYTES = 3 << 20  # one message of maximum length being received and one being sent
@@ -44,10 +47,11 @@
     Each limit has a minimum, so that a process with too little memory or too few descriptors may
     exceed what it was given.
     """
-    free_bytes = int(max(0.0, memory_mb - PROCESS_MB) * (1 << 20))
     share = int(descriptors * RESERVED_SHARE)
     reserved = min(MAX_RESERVED, max(PROCESS_DESCRIPTORS + 4, share))
     connections = max(1, descriptors - reserved)
+    used_bytes = (PROCESS_MB << 20) + connections * CONNECTION_BYTES
+    free_bytes = max(0, int(memory_mb * (1 << 20)) - used_bytes)
     return ResourceLimits(
         connections=connections,
         liveness_checkers=max(1, int(connections * LIVENESS_CHECKERS_SHARE)),
--- a/plankroute/net/proxies/listener.py
+++ b/plankroute/net/proxies/listener.py
@@ -11,6 +11,7 @@
 from plankroute.net.process.resource_limits import ResourceLimits
 from plankroute.net.process.telemetry import Telemetry
 from plankroute.net.proxies.admission import Admission, Role
+from plankroute.net.proxies.bounded_reads import READ_BYTES, READER_LIMIT_BYTES, BoundedReadProtocol
 from plankroute.net.proxies.connection import Connection
 from plankroute.net.proxies.connection_table import MAX_ACCEPTS_PER_ITERATION, ConnectionTable
 from plankroute.net.proxies.line_codec import ALIVE_LINE, ERROR_LINE, parse_line
@@ -26,7 +27,6 @@
 from plankroute.net.proxies.ring_buffer import MemoryPool
 from plankroute.net.proxies.sessions import Sessions
 
-READ_BYTES = 16384  # the lines that a collector sends in a second
 # Lines of one connection that are handled before those of others have their turn.
 MAX_LINES_PER_TURN = 32
 # Kernel receive buffer of one connection. It bounds what hundreds of connections can hold together.
@@ -86,14 +86,17 @@
             # Linux doubles the value that is set.
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES // 2)
             sock.bind(host_and_port(address))
-            self.server = await asyncio.start_server(
-                self._serve, sock=sock, backlog=MAX_ACCEPTS_PER_ITERATION, limit=READ_BYTES
+            self.server = await asyncio.get_running_loop().create_server(
+                self._new_protocol, sock=sock, backlog=MAX_ACCEPTS_PER_ITERATION
             )
             sock.listen(LISTEN_BACKLOG)
         except OSError:
             sock.close()
             raise
 
+    def _new_protocol(self) -> BoundedReadProtocol:
+        return BoundedReadProtocol(asyncio.StreamReader(limit=READER_LIMIT_BYTES), self._serve)
+
     def close(self) -> None:
         """Stops accepting connections; open ones stay open."""
         if self.server:
