Close a connection whose hello was delayed past the proxy's newer session

What callers saw: a proxy dialled again before the rest of its first hello had arrived; when it did, the controller took the first connection for the newer one and closed the proxy's present session.

Cause: Sessions.open took each hello for the newest connection. Bytes come in pieces and late, so only the order of the accepted connections tells which one is newer.

Evidence: tests/net/test_closed_streams.py, a controller and two connections: before, no session was left. Of the same picture (input of a client that has left is processed afterwards) two tests passed before: demand of a closed stream has no effect once the next one has joined, and streams reset with a thousand lines unread leave no session.

Change: such a hello opens no session, its connection is closed and counted (dropped.delayed_hellos).

--- a/plankroute/net/proxies/sessions.py
+++ b/plankroute/net/proxies/sessions.py
@@ -48,9 +48,14 @@
         """Opens the session of a proxy and replaces its previous one, if any.
 
         A proxy may reconnect before the end of its old connection is noticed. The end of a replaced
-        connection does not make the proxy count as left.
+        connection does not make the proxy count as left. A hello on an earlier connection than the
+        session's was delayed: the proxy has given that connection up, so it is closed.
         """
         replaced = self.by_proxy.get(hello.proxy)
+        if replaced and connection.connected_at < replaced.connected_at:
+            self.telemetry.log_once("dropped.delayed_hellos", proxy=hello.proxy)
+            connection.outbound.abort()
+            return
         if replaced:
             self._report_left(hello.proxy)
             del self.hellos[replaced]
