Look at newly joined proxies alone when a late list comes; merge two memory tests

Change: proxies are kept in the order of joining, and the search ends at the first older one; one test with a parameter, same input, same bound.

--- a/plankroute/state/earlier_withdrawals.py
+++ b/plankroute/state/earlier_withdrawals.py
@@ -41,7 +41,7 @@
     def __init__(self, memory_us: int, list_delay_us: int) -> None:
         self._memory_us = memory_us
         self._list_delay_us = list_delay_us
-        self._proxies: dict[int, JoinedProxy] = {}
+        self._proxies: dict[int, JoinedProxy] = {}  # in the order in which they joined
         self._not_ready: set[int] = set()
         self._not_ready_at_us: dict[int, int] = {}  # by host, when it was last not ready
 
@@ -54,6 +54,7 @@
             joined.hosts |= {
                 host for host, at_us in self._not_ready_at_us.items() if at_us >= earliest_us
             }
+        self.leave(proxy)
         self._proxies[proxy] = joined
 
     def leave(self, proxy: int) -> None:
@@ -78,9 +79,10 @@
             return  # as far as the lists show, it has been ready for long
         not_ready_at_us = started_us if is_ready and not was_not_ready else now
         self._not_ready_at_us[host] = max(not_ready_at_us, self._not_ready_at_us.get(host, 0))
-        for joined in self._proxies.values():
-            is_late_news = now - joined.joined_us <= self._list_delay_us
-            if is_late_news and joined.joined_us - not_ready_at_us <= self._memory_us:
+        for joined in reversed(self._proxies.values()):
+            if now - joined.joined_us > self._list_delay_us:
+                break
+            if joined.joined_us - not_ready_at_us <= self._memory_us:
                 joined.hosts.add(host)
 
     def hosts(self, proxy: int) -> Set[int]:
--- a/tests/net/test_memory_limit.py
+++ b/tests/net/test_memory_limit.py
@@ -64,6 +64,14 @@
         received = received[-16:] + data
 
 
+def fill_buffers(peer: socket.socket) -> None:
+    """Sends until all buffers on the way to the paused controller are full."""
+    peer.setblocking(False)
+    with suppress(BlockingIOError):
+        while True:
+            peer.send(b"x" * 65536)
+
+
 def complete_lines(peers: list[socket.socket]) -> None:
     """Completes the lines that the peers have begun, and waits until they have been processed."""
     for peer in peers:
@@ -129,35 +137,20 @@
         controller.check_memory()
 
 
+@pytest.mark.parametrize("is_paused", [False, True])
 @pytest.mark.parametrize("memory_mb, descriptors", LIMITS)
 def test_hundreds_of_lines_that_stop_half_way_fit_into_the_memory_limit(
-    memory_mb: int, descriptors: int, tmp_path: Path
-) -> None:
-    half_line = line_of(b"demand node=1 route=", b"x", b"")[: MAX_LINE_BYTES // 2]
-    with limited_controller(tmp_path / "config.json", memory_mb, descriptors) as controller:
-        for peer in controller.proxies:
-            peer.sendall(half_line)
-        complete_lines(controller.proxies)
-        controller.check_memory()
-
-
-@pytest.mark.parametrize("memory_mb, descriptors", LIMITS)
-def test_input_that_arrives_during_a_pause_fits_into_the_memory_limit(
-    memory_mb: int, descriptors: int, tmp_path: Path
+    memory_mb: int, descriptors: int, is_paused: bool, tmp_path: Path
 ) -> None:
     half_line = line_of(b"demand node=1 route=", b"x", b"")[: MAX_LINE_BYTES // 2]
     with limited_controller(tmp_path / "config.json", memory_mb, descriptors) as controller:
         for peer in controller.proxies:
             peer.sendall(half_line)
-        os.kill(controller.process.pid, signal.SIGSTOP)
-        for peer in controller.proxies:
-            peer.setblocking(False)
-            try:
-                while peer.send(b"x" * 65536):
-                    pass
-            except BlockingIOError:
-                pass  # all buffers on the way are full
-        os.kill(controller.process.pid, signal.SIGCONT)
+        if is_paused:
+            os.kill(controller.process.pid, signal.SIGSTOP)
+            for peer in controller.proxies:
+                fill_buffers(peer)
+            os.kill(controller.process.pid, signal.SIGCONT)
         complete_lines(controller.proxies)
         controller.check_memory()
 
