Read the lines after a skipped one, also while buffer memory is short

Cause: LineReader skips a line for which the pool has no memory, but kept the line's end and what followed it in a buffer again. While other connections hold all memory, that buffer can't be had either, so the end was not seen and all following lines of the connection were lost, until memory was free.

Evidence: the new test of the reader with a pool that another reader has used up; before, the lines after the skipped one were missing.

Change: the rest of a skipped line is dropped without the buffer, and complete lines after it bypass the buffer as all others do; only an incomplete last line needs memory.

Test: test_lines_after_a_skipped_one_are_read_although_memory_is_still_short, failed before. All other tests of the reader are unchanged and pass.

--- a/plankroute/net/proxies/line_reader.py
+++ b/plankroute/net/proxies/line_reader.py
@@ -36,44 +36,48 @@
         Yields one rejection for each line that is too long or for which memory is short.
         """
         for start in range(0, len(received), self.SLICE_BYTES):
-            piece = received[start : start + self.SLICE_BYTES]
-            if not self.buffer.size and not self.is_skipping:
-                # Complete lines bypass the buffer, which holds only the incomplete last line.
-                end = piece.rfind(b"\n")
-                if end >= 0:
-                    yield from map(self._check_length, piece[:end].split(b"\n"))
-                    piece = piece[end + 1 :]
-            if not self.buffer.append(piece):
-                yield from self._skip(piece)
+            yield from self._feed_piece(received[start : start + self.SLICE_BYTES])
+
+    def _feed_piece(self, piece: bytes) -> Iterator[bytes | Rejection]:
+        if self.is_skipping:
+            end = piece.find(b"\n")
+            if end < 0:
+                return
+            self.is_skipping = False
+            piece = piece[end + 1 :]
+        if not self.buffer.size:
+            # Complete lines bypass the buffer, which holds only the incomplete last line.
+            end = piece.rfind(b"\n")
+            if end >= 0:
+                yield from map(self._check_length, piece[:end].split(b"\n"))
+                piece = piece[end + 1 :]
+        if self.buffer.append(piece):
             yield from self._buffered_lines()
+        else:
+            yield from self._skip_line(piece)
 
     def _check_length(self, line: bytes) -> bytes | Rejection:
         if len(line) <= self.max_line_bytes:
             return line
         return Rejection(RejectionStage.FRAMING, LINE_TOO_LONG, breaks_framing=True)
 
-    def _skip(self, piece: bytes) -> Iterator[Rejection]:
-        """Drops the buffered part of a line that does not fit, and skips the rest of the line."""
+    def _skip_line(self, piece: bytes) -> Iterator[bytes | Rejection]:
+        """Drops a line that does not fit into the buffer, and handles what follows it.
+
+        Args:
+            piece: The next bytes of the line, which may contain its end.
+        """
         is_too_long = self.buffer.size + len(piece) > self.buffer.max_bytes
         self.buffer.release()
         self.searched_bytes = 0
-        if not self.is_skipping:
-            self.is_skipping = True
-            reason = LINE_TOO_LONG if is_too_long else "out of line buffer memory"
-            yield Rejection(RejectionStage.FRAMING, reason, breaks_framing=is_too_long)
-        end = piece.find(b"\n")
-        if end >= 0:
-            self.buffer.append(piece[end:])  # from the line feed on, which ends the skipping
+        self.is_skipping = True
+        reason = LINE_TOO_LONG if is_too_long else "out of line buffer memory"
+        yield Rejection(RejectionStage.FRAMING, reason, breaks_framing=is_too_long)
+        yield from self._feed_piece(piece)
 
     def _buffered_lines(self) -> Iterator[bytes | Rejection]:
         while (end := self.buffer.find(LINE_FEED, self.searched_bytes)) >= 0:
             line = self.buffer.take(end + 1)[:-1]
             self.searched_bytes = 0
-            if self.is_skipping:
-                self.is_skipping = False
-            else:
-                yield self._check_length(line)
+            yield self._check_length(line)
         self.searched_bytes = self.buffer.size
-        if self.is_skipping:
-            self.buffer.release()
-            self.searched_bytes = 0
--- a/tests/net/test_line_reader.py
+++ b/tests/net/test_line_reader.py
@@ -33,3 +33,17 @@
     pieces = [long_line, b"probe\r\n", long_line, b"probe\r\n"]
     lines = read_lines(pieces, max_line_bytes=1 << 20, pool_bytes=2048)
     assert [type(line) for line in lines] == [Rejection, bytes, Rejection, bytes]
+
+
+# While other connections had used up the memory, the lines after a skipped one were lost, and all
+# later ones.
+def test_lines_after_a_skipped_one_are_read_although_memory_is_still_short() -> None:
+    pool = MemoryPool(2048)
+    other, reader = LineReader(8192, pool), LineReader(8192, pool)
+    assert not list(other.feed(b"x" * 1500))  # takes all memory
+    (rejection,) = reader.feed(b"y" * 100)
+    assert isinstance(rejection, Rejection) and not rejection.breaks_framing
+    probe, rejection = reader.feed(b"yy\r\nprobe\r\nack")
+    assert probe == b"probe\r" and isinstance(rejection, Rejection)
+    assert list(reader.feed(b" node=1\r\nprobe\r\n")) == [b"probe\r"]
+    assert list(reader.feed(b"probe\r\n")) == [b"probe\r"]
